--- a/src/main/java/oxbowlead/Admission.java
+++ b/src/main/java/wharftrestle/Admission.java
@@ -1,4 +1,4 @@
-package oxbowlead;
+package wharftrestle;
 
 import java.util.List;
 
--- a/src/main/java/oxbowlead/wire/MalformedLineException.java
+++ b/src/main/java/wharftrestle/wire/MalformedLineException.java
@@ -1,4 +1,4 @@
-package oxbowlead.wire;
+package wharftrestle.wire;
 
 /** A line of the wire that lacks a needed field or holds what cannot be read. */
 final class MalformedLineException extends Exception {
--- a/src/main/java/oxbowlead/wire/SettingsReader.java
+++ b/src/main/java/wharftrestle/wire/SettingsReader.java
@@ -1,11 +1,11 @@
-package oxbowlead.wire;
+package wharftrestle.wire;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.ArrayList;
 import java.util.List;
-import oxbowlead.Admission;
+import wharftrestle.Admission;
 
 /** Reads the settings object of a start. What is absent is 0, false or empty; unknown keys are skipped. */
 final class SettingsReader {
--- a/src/main/java/oxbowlead/wire/WireActions.java
+++ b/src/main/java/wharftrestle/wire/WireActions.java
@@ -1,6 +1,6 @@
-package oxbowlead.wire;
+package wharftrestle.wire;
 
-import oxbowlead.Admission;
+import wharftrestle.Admission;
 
 /** Writes the actions of one instance as wire lines. */
 final class WireActions implements Admission.Actions {
--- a/src/main/java/oxbowlead/wire/WireAdapter.java
+++ b/src/main/java/wharftrestle/wire/WireAdapter.java
@@ -1,4 +1,4 @@
-package oxbowlead.wire;
+package wharftrestle.wire;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -10,7 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import oxbowlead.Admission;
+import wharftrestle.Admission;
 
 /** Translates wire batches to events of the instances and their actions to replies. It decides nothing. */
 public final class WireAdapter {
--- a/src/main/java/oxbowlead/wire/WireLine.java
+++ b/src/main/java/wharftrestle/wire/WireLine.java
@@ -1,4 +1,4 @@
-package oxbowlead.wire;
+package wharftrestle.wire;
 
 /** One line of the wire: a name and tab-separated fields, found by scanning. */
 final class WireLine {
--- a/src/test/java/oxbowlead/GroupEdfSchedulerTest.java
+++ b/src/test/java/wharftrestle/GroupEdfSchedulerTest.java
@@ -1,14 +1,14 @@
-package oxbowlead;
+package wharftrestle;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static oxbowlead.RecordingHost.Phase.ATTACHED;
-import static oxbowlead.RecordingHost.Phase.AT_CALL;
-import static oxbowlead.RecordingHost.Phase.CALLING;
-import static oxbowlead.RecordingHost.Phase.HELD;
-import static oxbowlead.RecordingHost.Phase.OVER;
-import static oxbowlead.RecordingHost.Phase.RUNNING;
+import static wharftrestle.RecordingHost.Phase.ATTACHED;
+import static wharftrestle.RecordingHost.Phase.AT_CALL;
+import static wharftrestle.RecordingHost.Phase.CALLING;
+import static wharftrestle.RecordingHost.Phase.HELD;
+import static wharftrestle.RecordingHost.Phase.OVER;
+import static wharftrestle.RecordingHost.Phase.RUNNING;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/oxbowlead/RandomSequencesTest.java
+++ b/src/test/java/wharftrestle/RandomSequencesTest.java
@@ -1,4 +1,4 @@
-package oxbowlead;
+package wharftrestle;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/oxbowlead/WireAdapterTest.java
+++ b/src/test/java/wharftrestle/WireAdapterTest.java
@@ -1,4 +1,4 @@
-package oxbowlead;
+package wharftrestle;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,7 +9,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
-import oxbowlead.wire.WireAdapter;
+import wharftrestle.wire.WireAdapter;
 
 /** The wire by hand-written lines. */
 class WireAdapterTest {
