--- a/src/main/java/wharftrestle/Main.java
+++ b/src/main/java/wharftrestle/Main.java
@@ -1,17 +1,98 @@
 package wharftrestle;
 
 import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import org.tinylog.Logger;
+import org.tinylog.provider.ProviderRegistry;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import sun.misc.Signal;
+import wharftrestle.net.Config;
 import wharftrestle.wire.WireAdapter;
 
-/** Command line: the adapter is its only subcommand. */
-public final class Main {
+/**
+ * The command line. It owns arguments, exit codes and signals, and hands over to the part named; bad arguments
+ * or configuration are one plain line on standard error and exit code 2.
+ */
+@Command(name = "wharftrestle", mixinStandardHelpOptions = true,
+        description = "Admission and overload control for one script server",
+        subcommands = {Main.Serve.class, Main.Adapter.class, Main.Version.class})
+public final class Main implements Runnable {
+    private static final int BAD_USE = 2;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
     private Main() { }
 
-    public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: java -jar wharftrestle.jar adapter");
-            System.exit(2);
+    public static void main(String[] args) {
+        CommandLine line = new CommandLine(new Main());
+        line.setParameterExceptionHandler((e, given) -> complain(e.getMessage()));
+        line.setExecutionExceptionHandler((e, command, parsed) -> {
+            if (e instanceof Config.BadConfigException) {
+                return complain(e.getMessage());
+            }
+            throw e;
+        });
+        System.exit(line.execute(args));
+    }
+
+    private static int complain(String message) {
+        System.err.println("wharftrestle: " + message.lines().findFirst().orElse("bad use"));
+        return BAD_USE;
+    }
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "name a command: serve, adapter or version");
+    }
+
+    /** The daemon. */
+    @Command(name = "serve", description = "serve the platform's front ends, in the foreground")
+    static final class Serve implements Callable<Integer> {
+        @Option(names = "--appliance", description = "file with the addresses of uwsgi, control and SNMP",
+                defaultValue = "deploy/appliance.properties")
+        private Path appliance;
+
+        @Override
+        public Integer call() throws Exception {
+            Config config = Config.read(System.getenv());
+            Lifecycle life;
+            try {
+                life = new Lifecycle(config);
+            } catch (IOException e) {
+                throw new Config.BadConfigException("cannot listen: " + e.getMessage());
+            }
+            Signal.handle(new Signal("TERM"), signal -> life.leave());
+            Signal.handle(new Signal("INT"), signal -> life.leave());
+            life.start();
+            life.serveUntilStopped();
+            Logger.info("counters at exit:\n{}", life.counters().table());
+            ProviderRegistry.getLoggingProvider().shutdown();
+            return 0;
+        }
+    }
+
+    /** The same decisions on the simulator's wire. */
+    @Command(name = "adapter", description = "decide on the simulator's wire, on standard input and output")
+    static final class Adapter implements Callable<Integer> {
+        @Override
+        public Integer call() throws IOException {
+            new WireAdapter(GroupEdfScheduler::new).serve(System.in, System.out);
+            return 0;
+        }
+    }
+
+    /** What this is. */
+    @Command(name = "version", description = "print the version")
+    static final class Version implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            String version = Main.class.getPackage().getImplementationVersion();
+            System.out.println("wharftrestle " + (version == null ? "(unpackaged)" : version));
+            return 0;
         }
-        new WireAdapter(GroupEdfScheduler::new).serve(System.in, System.out);
     }
 }
--- /dev/null
+++ b/src/main/java/wharftrestle/core/Core.java
@@ -0,0 +1,868 @@
+package wharftrestle.core;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import org.tinylog.Logger;
+import wharftrestle.Admission;
+import wharftrestle.Admission.Outcome;
+import wharftrestle.ops.Counters;
+import wharftrestle.ops.Counters.Count;
+
+/**
+ * Owns the requests in hand, the keys with their results, and the one lock that guards the decision module.
+ * Events enter the module here, one at a time and with a clock that never goes back; what the module asks for
+ * comes back inside the event and only becomes a step of the request concerned, which that request's own
+ * thread carries out. It must never read or write a socket under the lock, never decide what the module
+ * decides, and never know which wire a request came by.
+ */
+public final class Core implements Admission.Actions {
+
+    /** One try as a front read it; {@code door} is Unix time in ms, {@code key} is null where there is none. */
+    public record Arrival(String ref, int classIndex, int tenantIndex, double heldKb, int caller, double rank,
+                          String key, String subject, long door, byte[] body) { }
+
+    /** The final answer; retryAfter in seconds, 0 for no advice. */
+    public record Answer(Kind kind, byte[] result, double retryAfter, boolean nowhereElse) {
+        /** How a request came out. */
+        public enum Kind { SERVED, REFUSED, FAILED }
+
+        private static final byte[] NOTHING = new byte[0];
+
+        static Answer served(byte[] result) {
+            return new Answer(Kind.SERVED, result, 0, false);
+        }
+
+        static Answer failed() {
+            return new Answer(Kind.FAILED, NOTHING, 0, false);
+        }
+
+        static Answer refused(double retryAfter, boolean nowhereElse) {
+            return new Answer(Kind.REFUSED, NOTHING, retryAfter, nowhereElse);
+        }
+    }
+
+    /** Who waits for a request; told once, on the request's own thread. */
+    public interface Caller {
+        void answer(Answer answer);
+    }
+
+    /** What carries out runs. None of these waits for the network. */
+    public interface Pool {
+        void spawn(String ref, String className, byte[] body);
+
+        void suspend(String ref);
+
+        void supply(String ref, byte[] reply);
+
+        void pass(String ref, long notice);
+
+        /** Asks for the gauges; false where there is no link to ask over. */
+        boolean poll();
+    }
+
+    /** What takes the calls of runs. */
+    public interface Store {
+        /** Sends a call on another thread and returns at once; the end is told once unless it is abandoned. */
+        Call begin(String ref, byte[] body, long timeoutMs, CallEnd end);
+    }
+
+    /** A call on its way. */
+    public interface Call {
+        void abandon();
+    }
+
+    /** Takes how a call ended; the reply is null unless it went well. */
+    public interface CallEnd {
+        void ended(Outcome outcome, byte[] reply);
+    }
+
+    /** Makes the module once the worker pool is up. */
+    public interface Factory {
+        Admission.Events create(double now, long seed, Admission.Settings settings, Admission.Actions actions);
+    }
+
+    /** Told of health as the module sets it, and of the time after which idle connections may go. */
+    public interface Watcher {
+        void health(boolean good);
+    }
+
+    /** Most requests in hand: each has a thread, and threads are what would fill this process's memory. */
+    private static final int MOST_IN_HAND = 320;
+    private static final int STACK = 192 * 1024;
+    /** Seconds past the due time at which an answer is forced: well inside the slack of the rule. */
+    private static final double BACKSTOP = 0.02;
+    /** Seconds by which a key's window is stretched: clocks round, and a try may be stamped early. */
+    private static final double KEY_SLACK = 0.5;
+    /** Seconds an entry stays past its window: a try stamped within it may be read after a standstill. */
+    private static final double KEY_LINGER = 10;
+    /** Seconds a run may outlive its answer before its thread stops waiting for word of it. */
+    private static final double ORPHAN = 60;
+    /** Seconds the timer waits for the gauges it asked for. */
+    private static final double GAUGE_WAIT = 0.015;
+
+    private enum Kind { SPAWN, SUPPLY, PASS, SUSPEND, CALL, ABANDON, ANSWER }
+
+    private record Step(Kind kind, byte[] bytes, double until, Answer answer) {
+        static Step of(Kind kind) {
+            return new Step(kind, null, 0, null);
+        }
+    }
+
+    /** One request in hand. All but the final fields is guarded by the lock. */
+    private static final class Task {
+        final long id;
+        final Arrival arrival;
+        final Caller caller;
+        final Condition signal;
+        final ArrayDeque<Step> steps = new ArrayDeque<>();
+        double backstop;
+        boolean answered;      // or its caller is gone: the one state change
+        boolean spawned;       // a run was asked for
+        boolean runOver;       // and is known to be over
+        boolean attached;
+        double since;          // start or attachment
+        long notice;           // of the call it stands at
+        byte[] callBody;
+        Step unheard;          // last command to the worker pool that no notice has followed
+        Call call;
+        int callNumber;
+        double callSince;
+        KeyEntry entry;
+
+        Task(long id, Arrival arrival, Caller caller, Condition signal) {
+            this.id = id;
+            this.arrival = arrival;
+            this.caller = caller;
+            this.signal = signal;
+        }
+
+        boolean over() {
+            return answered && (!spawned || runOver);
+        }
+    }
+
+    /** What is known of one key: the try that holds it or ran, its result, and who waits for that. */
+    private static final class KeyEntry {
+        Task holder;
+        boolean ran;
+        boolean finished;
+        byte[] result;
+        double until = Double.POSITIVE_INFINITY;   // of the entry, on this clock
+        long lastDoor;                             // no try stamped up to here may run
+        final List<Task> riders = new ArrayList<>();
+    }
+
+    private record Wake(double at, long label) { }
+
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Condition timers = lock.newCondition();
+    private final Condition gaugesCame = lock.newCondition();
+    private final Condition drained = lock.newCondition();
+    private final Admission.Settings settings;
+    private final long seed;
+    private final Factory factory;
+    private final Counters counters;
+    private final Map<Long, Task> byId = new HashMap<>();
+    private final Map<String, Task> byRef = new HashMap<>();
+    private final Map<String, KeyEntry> keys = new HashMap<>();
+    private final PriorityQueue<Wake> wakes = new PriorityQueue<>((a, b) -> Double.compare(a.at(), b.at()));
+    private final ArrayDeque<Runnable> pending = new ArrayDeque<>();
+    private final ThreadPoolExecutor threads;
+    private Pool pool;
+    private Store store;
+    private Watcher watcher = good -> { };
+    private Admission.Events module;
+    private double clock;
+    private long lastId;
+    private double[] gauges = new double[0];
+    private long gaugeCount;
+    private double stopAt = Double.POSITIVE_INFINITY;
+    private double keysSwept;
+    private volatile boolean healthy = true;
+    private volatile double idleLimit;
+
+    public Core(Admission.Settings settings, long seed, Factory factory, Counters counters) {
+        this.settings = settings;
+        this.seed = seed;
+        this.factory = factory;
+        this.counters = counters;
+        threads = new ThreadPoolExecutor(8, MOST_IN_HAND, 5, TimeUnit.SECONDS, new SynchronousQueue<>(),
+                task -> thread("request", task));
+    }
+
+    /** Gives the core its outer parties and starts its timer. */
+    public void open(Pool workers, Store calls, Watcher told) {
+        pool = workers;
+        store = calls;
+        watcher = told;
+        thread("timer", this::runTimers).start();
+    }
+
+    /** A platform thread with a small stack that does not keep the process alive. */
+    public static Thread thread(String name, Runnable body) {
+        Thread thread = new Thread(null, body, name, STACK);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    public Admission.Settings settings() {
+        return settings;
+    }
+
+    public boolean healthy() {
+        return healthy;
+    }
+
+    /** Seconds an idle connection may stay; 0 for as long as its peer likes. */
+    public double idleLimit() {
+        return idleLimit;
+    }
+
+    // ---- The life of one request ----
+
+    /** Takes a request in; its life goes on on a thread of its own. Returns what {@link #left} needs. */
+    public Object accept(Arrival arrival, Caller caller) {
+        counters.add(Count.REQUESTS);
+        Task task;
+        lock.lock();
+        try {
+            task = new Task(++lastId, arrival, caller, lock.newCondition());
+        } finally {
+            lock.unlock();
+        }
+        try {
+            threads.execute(() -> live(task));
+        } catch (RejectedExecutionException full) {
+            // Guards against threads filling the memory in a flood: what finds none is turned away unread
+            // by the module, or failed where another try of it ran.
+            turnAway(task);
+        }
+        return task;
+    }
+
+    /** One request from its arrival to its last word. */
+    private void live(Task task) {
+        Arrival arrival = task.arrival;
+        arrive(task);
+        for (Step step = next(task); step != null; step = next(task)) {
+            switch (step.kind()) {
+                case SPAWN -> {
+                    counters.add(Count.RUNS);
+                    pool.spawn(arrival.ref(), settings.classes().get(arrival.classIndex()).name(), arrival.body());
+                }
+                case CALL -> {
+                    counters.add(Count.CALLS);
+                    beginCall(task, step);
+                }
+                case SUPPLY -> pool.supply(arrival.ref(), step.bytes());
+                case PASS -> pool.pass(arrival.ref(), (long) step.until());
+                case SUSPEND -> pool.suspend(arrival.ref());
+                case ABANDON -> abandonCall(task);
+                case ANSWER -> {
+                    counters.add(switch (step.answer().kind()) {
+                        case SERVED -> Count.SERVED;
+                        case REFUSED -> Count.REFUSED;
+                        case FAILED -> Count.FAILED;
+                    });
+                    task.caller.answer(step.answer());
+                }
+            }
+        }
+    }
+
+    private void arrive(Task task) {
+        lock.lock();
+        try {
+            if (task.answered) {
+                return;
+            }
+            if (module == null || byRef.containsKey(task.arrival.ref())) {
+                // Before the worker pool is up nothing can run; a reference in use would be taken for its run.
+                counters.add(Count.GUARDED);
+                answer(task, module == null ? Answer.refused(settings.maxRetryAfter(), false) : Answer.failed());
+                return;
+            }
+            double now = now();
+            Arrival a = task.arrival;
+            double lay = Math.max(0, (System.currentTimeMillis() - a.door()) / 1000.0);
+            task.backstop = Math.min(now - lay + settings.classes().get(a.classIndex()).deadline() + BACKSTOP,
+                    stopAt);
+            byId.put(task.id, task);
+            byRef.put(a.ref(), task);
+            sweepKeys(now);
+            KeyEntry prior = a.key() == null ? null : keys.get(a.key());
+            boolean repeat = prior != null && (!prior.ran || a.door() <= prior.lastDoor);
+            if (prior != null && !repeat) {
+                keys.remove(a.key());
+            }
+            task.entry = repeat ? prior : null;
+            module.arrived(now, new Admission.Request(task.id, false, lay, a.classIndex(), a.tenantIndex(),
+                    a.heldKb(), a.caller(), 0, a.subject(), repeat ? prior.holder.id : 0, 0, a.rank()));
+            settle(now);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** The request's next step; null once it is answered and nothing of it runs. */
+    private Step next(Task task) {
+        lock.lock();
+        try {
+            for (;;) {
+                Step step = task.steps.poll();
+                if (step != null) {
+                    return step;
+                }
+                if (task.over()) {
+                    forget(task);
+                    return null;
+                }
+                double wait = task.backstop - now();
+                if (wait <= 0 && task.answered) {
+                    Logger.warn("no word of run {}, given up", task.arrival.ref());
+                    tellRunOver(task, Outcome.BROKEN, now() - task.since, null);
+                } else if (wait <= 0) {
+                    // Guards against a late answer should the module or its timer be held up.
+                    counters.add(Count.BACKSTOPS);
+                    answer(task, Answer.failed());
+                    module.callerLeft(now(), task.id);
+                    settle(now());
+                } else {
+                    task.signal.awaitNanos((long) (wait * 1e9) + 1);
+                }
+            }
+        } catch (InterruptedException e) {
+            throw new IllegalStateException("nobody interrupts a request", e);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void forget(Task task) {
+        byId.remove(task.id);
+        byRef.remove(task.arrival.ref(), task);
+        if (byId.isEmpty()) {
+            drained.signalAll();
+        }
+    }
+
+    private void turnAway(Task task) {
+        boolean ran;
+        lock.lock();
+        try {
+            KeyEntry entry = task.arrival.key() == null ? null : keys.get(task.arrival.key());
+            ran = entry != null && entry.ran;
+            task.answered = true;
+        } finally {
+            lock.unlock();
+        }
+        counters.add(Count.GUARDED);
+        counters.add(ran ? Count.FAILED : Count.REFUSED);
+        task.caller.answer(ran ? Answer.failed() : Answer.refused(settings.maxRetryAfter(), false));
+    }
+
+    /** The caller of a request waits no longer. */
+    public void left(Object accepted) {
+        Task task = (Task) accepted;
+        lock.lock();
+        try {
+            if (task.answered) {
+                return;
+            }
+            counters.add(Count.GONE);
+            markAnswered(task);
+            if (task.entry != null) {
+                task.entry.riders.remove(task);
+            }
+            if (byId.containsKey(task.id)) {
+                module.callerLeft(now(), task.id);
+                settle(now());
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void answer(Task task, Answer answer) {
+        if (!task.answered) {
+            markAnswered(task);
+            step(task, new Step(Kind.ANSWER, null, 0, answer));
+        }
+    }
+
+    private void markAnswered(Task task) {
+        task.answered = true;
+        task.backstop = now() + ORPHAN;
+        task.signal.signal();
+    }
+
+    private void step(Task task, Step step) {
+        task.steps.add(step);
+        task.signal.signal();
+    }
+
+    private void command(Task task, Step step) {
+        task.unheard = step;
+        step(task, step);
+    }
+
+    // ---- Time and the module ----
+
+    /** Seconds on a clock that never goes back; under the lock. */
+    private double now() {
+        clock = Math.max(clock, System.nanoTime() / 1e9);
+        return clock;
+    }
+
+    /** Ends the instant, and the instants that follow from what the module asked for in it. */
+    private void settle(double now) {
+        module.settled(now);
+        for (Runnable event = pending.poll(); event != null; event = pending.poll()) {
+            event.run();
+            module.settled(now());
+        }
+    }
+
+    private void runTimers() {
+        lock.lock();
+        try {
+            for (;;) {
+                Wake first = wakes.peek();
+                if (first == null) {
+                    timers.await();
+                    continue;
+                }
+                double wait = first.at() - now();
+                if (wait > 0) {
+                    timers.awaitNanos((long) (wait * 1e9) + 1);
+                    continue;
+                }
+                wakes.poll();
+                double[] seen = freshGauges();
+                double now = now();
+                module.timer(now, first.label(), seen);
+                settle(now);
+            }
+        } catch (InterruptedException e) {
+            throw new IllegalStateException("nobody interrupts the timer", e);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Gauges read now; none where the worker pool does not say in time, for old ones would mislead. */
+    private double[] freshGauges() throws InterruptedException {
+        long before = gaugeCount;
+        if (!pool.poll()) {
+            return new double[0];
+        }
+        long left = (long) (GAUGE_WAIT * 1e9);
+        while (gaugeCount == before && left > 0) {
+            left = gaugesCame.awaitNanos(left);
+        }
+        return gaugeCount == before ? new double[0] : gauges;
+    }
+
+    // ---- What the worker pool tells ----
+
+    /** The worker pool is up, cold or warm at its start so many seconds ago. The module's life begins. */
+    public void bound(boolean cold, double ago) {
+        lock.lock();
+        try {
+            if (module == null) {
+                Admission.Settings s = settings;
+                Admission.Settings told = new Admission.Settings(s.classes(), s.tenants(), s.peers(), s.callers(),
+                        s.cores(), s.memory(), s.runFactor(), s.keyMemory(), s.shareFor(), s.preemption(),
+                        s.downstream(), s.callShare(), s.callsOver(), s.linger(), s.tellsGone(), s.realChecks(),
+                        s.listFollows(), s.answerSlack(), s.drainGrace(), s.crowdMultiple(), s.crowdOver(),
+                        s.justStarted() || cold, s.coldFrom(), s.coldFor(), s.maxRetryAfter(), s.worthByWork(),
+                        s.overShareWorth(), s.marksRetry(), s.tick(), s.gauges());
+                module = factory.create(now() - ago, seed, told, this);
+                settle(now());
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    public void gauges(double[] values) {
+        lock.lock();
+        try {
+            gauges = values;
+            gaugeCount++;
+            gaugesCame.signal();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** A run is over; the result is null unless it ended well. */
+    public void finished(String ref, Outcome outcome, double elapsed, byte[] result) {
+        lock.lock();
+        try {
+            Task task = byRef.get(ref);
+            if (task == null || !task.spawned || task.runOver) {
+                return;
+            }
+            tellRunOver(task, outcome, elapsed, result);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void tellRunOver(Task task, Outcome outcome, double elapsed, byte[] result) {
+        counters.add(outcome == Outcome.SUCCESS ? Count.RUNS_GOOD : Count.RUNS_OTHER);
+        task.runOver = true;
+        task.unheard = null;
+        task.callNumber++;
+        if (task.call != null) {
+            step(task, Step.of(Kind.ABANDON));
+        }
+        if (task.entry != null && task.entry.holder == task) {
+            finishEntry(task.entry, outcome == Outcome.SUCCESS ? result : null);
+        }
+        answer(task, outcome == Outcome.SUCCESS ? Answer.served(result) : Answer.failed());
+        task.signal.signal();
+        double now = now();
+        module.ended(now, task.id, outcome, elapsed);
+        settle(now);
+    }
+
+    /** A run waits for a call. */
+    public void blocked(String ref, long notice, byte[] body) {
+        lock.lock();
+        try {
+            Task task = byRef.get(ref);
+            if (task == null || !task.spawned || task.runOver) {
+                return;
+            }
+            task.unheard = null;
+            task.notice = notice;
+            task.callBody = body;
+            double now = now();
+            module.standsAtCall(now, task.id);
+            settle(now);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * The link is back and all notices before this have been heard. Guards against commands lost with the
+     * old link: what no notice has followed is sent again. A run that goes on ignores a second spawn.
+     */
+    public void relinked() {
+        lock.lock();
+        try {
+            for (Task task : byId.values()) {
+                if (task.spawned && !task.runOver && task.unheard != null && task.steps.isEmpty()) {
+                    step(task, task.unheard);
+                }
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    // ---- Calls ----
+
+    private void beginCall(Task task, Step step) {
+        byte[] body;
+        int number;
+        long timeout;
+        lock.lock();
+        try {
+            if (task.runOver) {
+                return;
+            }
+            body = task.callBody;
+            number = ++task.callNumber;
+            timeout = Math.max(1, Math.round((step.until() - now()) * 1000));
+        } finally {
+            lock.unlock();
+        }
+        Call call = store.begin(task.arrival.ref(), body, timeout,
+                (outcome, reply) -> callEnded(task, number, outcome, reply));
+        lock.lock();
+        try {
+            if (task.callNumber == number) {
+                task.call = call;
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void abandonCall(Task task) {
+        Call call;
+        lock.lock();
+        try {
+            call = task.call;
+            task.call = null;
+        } finally {
+            lock.unlock();
+        }
+        if (call != null) {
+            call.abandon();
+        }
+    }
+
+    private void callEnded(Task task, int number, Outcome outcome, byte[] reply) {
+        counters.add(outcome == Outcome.SUCCESS ? Count.CALLS_GOOD : Count.CALLS_OTHER);
+        lock.lock();
+        try {
+            if (task.callNumber != number) {
+                return;
+            }
+            task.callNumber++;
+            task.call = null;
+            double now = now();
+            if (outcome == Outcome.SUCCESS) {
+                command(task, new Step(Kind.SUPPLY, reply, 0, null));
+            }
+            module.callEnded(now, task.id, outcome, now - task.callSince);
+            settle(now);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    // ---- Keys ----
+
+    private void finishEntry(KeyEntry entry, byte[] result) {
+        entry.finished = true;
+        entry.result = result;
+        for (Task rider : entry.riders) {
+            pending.add(() -> endAttached(rider, entry));
+        }
+        entry.riders.clear();
+    }
+
+    /** An attached try ends as the one it repeats did. */
+    private void endAttached(Task task, KeyEntry entry) {
+        if (task.answered) {
+            return;
+        }
+        byte[] result = entry == null ? null : entry.result;
+        if (result != null) {
+            counters.add(Count.REPLAYED);
+        }
+        answer(task, result != null ? Answer.served(result) : Answer.failed());
+        double now = now();
+        module.ended(now, task.id, result != null ? Outcome.SUCCESS : Outcome.FAILURE, now - task.since);
+    }
+
+    private void join(Task task) {
+        KeyEntry entry = task.entry;
+        task.attached = true;
+        task.since = now();
+        if (entry == null || entry.finished) {
+            pending.add(() -> endAttached(task, entry));
+        } else {
+            entry.riders.add(task);
+        }
+    }
+
+    private void sweepKeys(double now) {
+        if (now < keysSwept + 1) {
+            return;
+        }
+        keysSwept = now;
+        for (Iterator<KeyEntry> all = keys.values().iterator(); all.hasNext();) {
+            if (all.next().until < now) {
+                all.remove();
+            }
+        }
+    }
+
+    // ---- What the module asks for: each becomes a step of the request concerned ----
+
+    @Override
+    public void start(long id) {
+        Task task = byId.get(id);
+        if (task == null || task.spawned) {
+            return;
+        }
+        Arrival a = task.arrival;
+        task.since = now();
+        if (a.key() != null) {
+            KeyEntry entry = keys.computeIfAbsent(a.key(), key -> new KeyEntry());
+            if (entry.ran && a.door() <= entry.lastDoor) {
+                // Guards against a second run of one key, whatever the module holds of it.
+                Logger.warn("a second run of one key was asked for; its try joins the first");
+                task.entry = entry;
+                join(task);
+                return;
+            }
+            double window = settings.classes().get(a.classIndex()).window() + KEY_SLACK;
+            entry.holder = task;
+            entry.ran = true;
+            entry.lastDoor = a.door() + Math.round(window * 1000);
+            entry.until = now() + window + KEY_LINGER;
+            task.entry = entry;
+        }
+        task.spawned = true;
+        command(task, Step.of(Kind.SPAWN));
+    }
+
+    @Override
+    public void refuse(long id, boolean nowhereElse, double retryAfter) {
+        Task task = byId.get(id);
+        if (task != null) {
+            // Guards against a refusal after the run of a key: that answer would promise that none ran.
+            boolean ran = task.entry != null && task.entry.ran;
+            answer(task, ran ? Answer.failed() : Answer.refused(retryAfter, nowhereElse));
+        }
+    }
+
+    @Override
+    public void fail(long id) {
+        Task task = byId.get(id);
+        if (task != null) {
+            answer(task, Answer.failed());
+            if (task.attached && task.entry != null) {
+                task.entry.riders.remove(task);
+            }
+        }
+    }
+
+    @Override
+    public void stop(long id) {
+        Task task = byId.get(id);
+        if (task != null && task.spawned && !task.runOver) {
+            command(task, Step.of(Kind.SUSPEND));
+        }
+    }
+
+    @Override
+    public void call(long id, double notPast) {
+        Task task = byId.get(id);
+        if (task != null && !task.runOver) {
+            task.callSince = now();
+            step(task, new Step(Kind.CALL, null, notPast, null));
+        }
+    }
+
+    @Override
+    public void skipCall(long id) {
+        Task task = byId.get(id);
+        if (task != null && !task.runOver) {
+            command(task, new Step(Kind.PASS, null, task.notice, null));
+        }
+    }
+
+    @Override
+    public void keep(long id, double time) {
+        Task task = byId.get(id);
+        if (task == null || task.arrival.key() == null) {
+            return;
+        }
+        KeyEntry known = keys.get(task.arrival.key());
+        if (known != null && known.ran && task.arrival.door() <= known.lastDoor) {
+            return;   // the try that ran stays the one that repeats are told of
+        }
+        KeyEntry entry = new KeyEntry();
+        entry.holder = task;
+        task.entry = entry;
+        keys.put(task.arrival.key(), entry);
+    }
+
+    @Override
+    public void release(long id) {
+        Task task = byId.get(id);
+        if (task != null && task.entry != null && task.entry.holder == task && !task.entry.ran) {
+            keys.remove(task.arrival.key(), task.entry);
+            finishEntry(task.entry, null);
+        }
+    }
+
+    @Override
+    public void attach(long id) {
+        Task task = byId.get(id);
+        if (task != null) {
+            join(task);
+        }
+    }
+
+    @Override
+    public void health(boolean good, boolean fromStore) {
+        healthy = good;
+        watcher.health(good);
+    }
+
+    @Override
+    public void idleLimit(double time) {
+        idleLimit = time;
+    }
+
+    @Override
+    public void timer(long label, double in) {
+        wakes.add(new Wake(now() + in, label));
+        timers.signal();
+    }
+
+    @Override
+    public void log(String line) {
+        Logger.info("module: {}", line);
+    }
+
+    // ---- Leaving ----
+
+    /** The notice to leave: all in hand is answered within this many seconds. */
+    public void leave(double timeLeft) {
+        lock.lock();
+        try {
+            double now = now();
+            stopAt = now + timeLeft;
+            for (Task task : byId.values()) {
+                if (!task.answered) {
+                    task.backstop = Math.min(task.backstop, stopAt);
+                    task.signal.signal();
+                }
+            }
+            if (module == null) {
+                health(false, true);
+                return;
+            }
+            module.leaving(now, timeLeft);
+            settle(now);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Waits until nothing is in hand, at most so long. */
+    public boolean awaitDrained(double seconds) throws InterruptedException {
+        lock.lock();
+        try {
+            long left = (long) (seconds * 1e9);
+            while (!byId.isEmpty() && left > 0) {
+                left = drained.awaitNanos(left);
+            }
+            return byId.isEmpty();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Requests in hand and keys kept, for the operator. */
+    public int[] inHand() {
+        lock.lock();
+        try {
+            return new int[] {byId.size(), keys.size()};
+        } finally {
+            lock.unlock();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wharftrestle/net/Bytes.java
@@ -0,0 +1,98 @@
+package wharftrestle.net;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Owns the pieces that the parsers share: bounded lines, lengths, exact reads. A bound is checked before
+ * anything is allocated for what it bounds; nothing here guesses at what it cannot read.
+ */
+public final class Bytes {
+    private Bytes() { }
+
+    /** A line without its CR LF; at most so many bytes. */
+    public static String line(InputStream in, int most) throws IOException {
+        StringBuilder line = new StringBuilder(32);
+        for (int c = in.read(); c != '\r'; c = in.read()) {
+            if (c < 0) {
+                throw new EOFException("ended within a line");
+            }
+            if (line.length() >= most || c == '\n') {
+                throw new Server.MalformedException("a line without an end");
+            }
+            line.append((char) c);
+        }
+        if (in.read() != '\n') {
+            throw new Server.MalformedException("a line with half an end");
+        }
+        return line.toString();
+    }
+
+    public static void crlf(InputStream in) throws IOException {
+        if (in.read() != '\r' || in.read() != '\n') {
+            throw new Server.MalformedException("bytes past a body's length");
+        }
+    }
+
+    public static byte[] exactly(InputStream in, int length) throws IOException {
+        byte[] bytes = in.readNBytes(length);
+        if (bytes.length < length) {
+            throw new EOFException("ended within a body");
+        }
+        return bytes;
+    }
+
+    /** A whole number from 0 to {@code most}. */
+    public static long number(String text, long most) throws IOException {
+        try {
+            long value = Long.parseLong(text);
+            if (value >= 0 && value <= most) {
+                return value;
+            }
+        } catch (NumberFormatException e) {
+            // Named below, as what is out of bounds is.
+        }
+        throw new Server.MalformedException("not a number up to " + most + ": " + clip(text));
+    }
+
+    public static double decimal(String text) throws IOException {
+        try {
+            double value = Double.parseDouble(text);
+            if (Double.isFinite(value)) {
+                return value;
+            }
+        } catch (NumberFormatException e) {
+            // Named below.
+        }
+        throw new Server.MalformedException("not a figure: " + clip(text));
+    }
+
+    /** Seconds from a figure in milliseconds, which the worker pool tells with decimals. */
+    public static double duration(String text) throws IOException {
+        return Math.max(0, decimal(text) / 1000);
+    }
+
+    public static byte[] join(byte[]... parts) {
+        int length = 0;
+        for (byte[] part : parts) {
+            length += part.length;
+        }
+        byte[] all = new byte[length];
+        int at = 0;
+        for (byte[] part : parts) {
+            System.arraycopy(part, 0, all, at, part.length);
+            at += part.length;
+        }
+        return all;
+    }
+
+    public static byte[] ascii(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static String clip(String text) {
+        return text.length() <= 40 ? text : text.substring(0, 40) + "...";
+    }
+}
--- a/src/main/java/wharftrestle/wire/MalformedLineException.java
+++ b/src/main/java/wharftrestle/wire/MalformedLineException.java
@@ -1,7 +1,7 @@
 package wharftrestle.wire;
 
 /** A line of the wire that lacks a needed field or holds what cannot be read. */
-final class MalformedLineException extends Exception {
+public final class MalformedLineException extends Exception {
     private static final long serialVersionUID = 1L;
 
     MalformedLineException(String message) {
--- a/src/main/java/wharftrestle/wire/SettingsReader.java
+++ b/src/main/java/wharftrestle/wire/SettingsReader.java
@@ -8,7 +8,7 @@
 import wharftrestle.Admission;
 
 /** Reads the settings object of a start. What is absent is 0, false or empty; unknown keys are skipped. */
-final class SettingsReader {
+public final class SettingsReader {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private SettingsReader() { }
@@ -20,6 +20,11 @@
         } catch (JsonProcessingException e) {
             throw new MalformedLineException("unreadable settings: " + e.getOriginalMessage());
         }
+        return read(root);
+    }
+
+    /** The same from JSON that was read already. */
+    public static Admission.Settings read(JsonNode root) throws MalformedLineException {
         if (root == null || !root.isObject()) {
             throw new MalformedLineException("the settings are no object");
         }
