Add the uwsgi front with its drain, refusals, errors and loopback tests

Seen while testing: a gateway that leaves its side open kept its connection and thread for ever; at the 256 allowed, later callers were cut unread (empty responses). Checked: the counters, 592 taken in of 600 sent, and 257 connections accepted. Ruled out: the core (all it took in was answered).

--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -2,51 +2,75 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import org.tinylog.Logger;
 import wharftrestle.core.Core;
 import wharftrestle.front.Resp;
+import wharftrestle.front.Uwsgi;
 import wharftrestle.net.Config;
 import wharftrestle.net.PoolLink;
 import wharftrestle.net.Reporter;
 import wharftrestle.net.Server;
 import wharftrestle.net.StoreClient;
+import wharftrestle.ops.Control;
 import wharftrestle.ops.Counters;
+import wharftrestle.ops.SnmpAgent;
 
 /**
  * Owns the daemon from its start to its exit: it puts the parts together, and its named states say how far it
  * has come. It must never go back a state, take part in a request, or leave before all that was read has its
  * answer while there is time.
  */
-public final class Lifecycle {
+public final class Lifecycle implements Control.Daemon, AutoCloseable {
 
     /** From start to exit, in this order. */
     public enum State { STARTING, SERVING, LEAVING, CLOSING, STOPPED }
 
-    /** Part of the descriptors that callers may hold: they open at most half, checks and store calls come on top. */
-    private static final double CALLERS_SHARE = 0.7;
+    /** Part of the descriptors that front ends may hold: they open at most half, and checks come on top. */
+    private static final double RESP_SHARE = 0.56;
+    /** Part of the descriptors that uwsgi gateways may hold; store calls and the rest fit beside both. */
+    private static final double UWSGI_SHARE = 0.25;
+    /** Consoles at once. */
+    private static final int MOST_CONSOLES = 4;
     /** Seconds before the process is stopped by which all answers are out, even on crowded cores. */
     private static final double SPARE = 0.3;
     /** Seconds left for peers to close their connections once all is answered. */
     private static final double LAST = 0.1;
 
+    /** Seconds past the grace in which what crosses its end on the way is still taken. */
+    private static final double CROSSING = 0.05;
+    /** Milliseconds between two looks at whether the peers have closed. */
+    private static final int CLOSE_LOOK_MS = 10;
+
     private final Config config;
     private final Counters counters = new Counters();
     private final Core core;
     private final PoolLink pool;
     private final Server resp;
+    private final Server uwsgi;
+    private final Server control;
+    private final SnmpAgent snmp;
     private final Reporter reporter;
     private final CountDownLatch notice = new CountDownLatch(1);
     private volatile State state = State.STARTING;
     private volatile long noticedAt;
+    private final long startedAt = System.nanoTime();
 
-    public Lifecycle(Config config) throws IOException {
+    /** Takes every address at once, so that one that cannot be had ends the start. */
+    public Lifecycle(Config config, Config.Appliance appliance) throws IOException {
         this.config = config;
         core = new Core(config.settings(), config.seed(), GroupEdfScheduler::new, counters);
         pool = new PoolLink(config.pool(), core, counters);
         reporter = new Reporter(config.name(), config.naming(), counters);
-        resp = new Server("resp", config.listen(), (int) (CALLERS_SHARE * config.sockets()),
+        resp = new Server("resp", config.listen(), (int) (RESP_SHARE * config.sockets()),
                 new Resp(core, counters), counters);
+        uwsgi = appliance.uwsgi() == null ? null
+                : new Server("uwsgi", appliance.uwsgi(), (int) (UWSGI_SHARE * config.sockets()),
+                        new Uwsgi(core, counters, config.seed(), appliance.heldKb()), counters);
+        control = appliance.control() == null ? null
+                : new Server("control", appliance.control(), MOST_CONSOLES, new Control(this), counters);
+        snmp = appliance.snmp() == null ? null : new SnmpAgent(this, appliance.snmp(), appliance.community());
     }
 
     public void start() {
@@ -54,6 +78,12 @@
         pool.start();
         reporter.start();
         resp.start();
+        if (uwsgi != null) {
+            uwsgi.start();
+        }
+        if (control != null) {
+            control.start();
+        }
         enter(State.SERVING);
     }
 
@@ -65,6 +95,7 @@
         return core;
     }
 
+    @Override
     public Counters counters() {
         return counters;
     }
@@ -74,7 +105,63 @@
         return resp.address();
     }
 
+    /** Where the uwsgi front listens; null where it is off. */
+    public InetSocketAddress uwsgiAddress() {
+        return uwsgi == null ? null : uwsgi.address();
+    }
+
+    /** Connections that gateways hold now. */
+    public int uwsgiConnections() {
+        return uwsgi == null ? 0 : uwsgi.connections().size();
+    }
+
+    /** Where consoles attach; null where they cannot. */
+    public InetSocketAddress controlAddress() {
+        return control == null ? null : control.address();
+    }
+
+    /** Where the SNMP agent answers; null where it is off. */
+    public InetSocketAddress snmpAddress() {
+        return snmp == null ? null : snmp.address();
+    }
+
+    @Override
+    public String name() {
+        return config.name();
+    }
+
+    @Override
+    public boolean linked() {
+        return pool.linked();
+    }
+
+    @Override
+    public boolean healthy() {
+        return core.healthy();
+    }
+
+    @Override
+    public int[] inHand() {
+        return core.inHand();
+    }
+
+    @Override
+    public double upSeconds() {
+        return (System.nanoTime() - startedAt) / 1e9;
+    }
+
+    @Override
+    public String phase() {
+        return state.name().toLowerCase(Locale.ROOT);
+    }
+
+    @Override
+    public int phaseNumber() {
+        return state.ordinal() + 1;
+    }
+
     /** The notice to leave; only the first counts. */
+    @Override
     public void leave() {
         if (notice.getCount() > 0) {
             noticedAt = System.nanoTime();
@@ -87,7 +174,7 @@
         notice.await();
         enter(State.LEAVING);
         core.leave(Math.max(0, left() - SPARE));
-        double grace = Math.min(config.settings().drainGrace(), config.stopSeconds() - 2 * SPARE);
+        double grace = Math.min(config.settings().drainGrace(), config.stopSeconds() - 2 * SPARE) + CROSSING;
         double open = grace - (config.stopSeconds() - left());
         if (open > 0) {
             Thread.sleep((long) (open * 1000));
@@ -96,22 +183,41 @@
         // From here on nothing that comes may run: callers are better served by a refused connection.
         resp.connections().forEach(Resp::sayClosing);
         resp.stopListening();
+        if (uwsgi != null) {
+            uwsgi.stopListening();
+        }
         do {
             core.awaitDrained(Math.max(0, left() - LAST));
-            Thread.sleep(10);
-        } while (!resp.connections().isEmpty() && left() > LAST);
+            Thread.sleep(CLOSE_LOOK_MS);
+        } while (left() > LAST && !(resp.connections().isEmpty()
+                && (uwsgi == null || uwsgi.connections().isEmpty())));
         for (Server.Connection connection : resp.connections()) {
             connection.awaitWritten((long) (LAST * 500));
         }
         enter(State.STOPPED);
     }
 
+    /** Gives all addresses back; what is open is cut. */
+    @Override
+    public void close() {
+        resp.close();
+        if (uwsgi != null) {
+            uwsgi.close();
+        }
+        if (control != null) {
+            control.close();
+        }
+        if (snmp != null) {
+            snmp.close();
+        }
+    }
+
     private double left() {
         return config.stopSeconds() - (System.nanoTime() - noticedAt) / 1e9;
     }
 
     private void enter(State next) {
         state = next;
-        Logger.info("{} is {}", config.name(), next.name().toLowerCase(java.util.Locale.ROOT));
+        Logger.info("{} is {}", config.name(), phase());
     }
 }
--- a/src/main/java/wharftrestle/Main.java
+++ b/src/main/java/wharftrestle/Main.java
@@ -1,6 +1,7 @@
 package wharftrestle;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import org.tinylog.Logger;
@@ -10,6 +11,7 @@
 import picocli.CommandLine.Option;
 import sun.misc.Signal;
 import wharftrestle.net.Config;
+import wharftrestle.ops.Console;
 import wharftrestle.wire.WireAdapter;
 
 /**
@@ -18,7 +20,7 @@
  */
 @Command(name = "wharftrestle", mixinStandardHelpOptions = true,
         description = "Admission and overload control for one script server",
-        subcommands = {Main.Serve.class, Main.Adapter.class, Main.Version.class})
+        subcommands = {Main.Serve.class, Main.Adapter.class, Main.Attach.class, Main.Version.class})
 public final class Main implements Runnable {
     private static final int BAD_USE = 2;
 
@@ -46,7 +48,7 @@
 
     @Override
     public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "name a command: serve, adapter or version");
+        throw new CommandLine.ParameterException(spec.commandLine(), "name a command: serve, adapter, console or version");
     }
 
     /** The daemon. */
@@ -59,9 +61,10 @@
         @Override
         public Integer call() throws Exception {
             Config config = Config.read(System.getenv());
+            Config.Appliance extras = Config.appliance(appliance);
             Lifecycle life;
             try {
-                life = new Lifecycle(config);
+                life = new Lifecycle(config, extras);
             } catch (IOException e) {
                 throw new Config.BadConfigException("cannot listen: " + e.getMessage());
             }
@@ -85,6 +88,31 @@
         }
     }
 
+    /** The operator's terminal. */
+    @Command(name = "console", description = "attach to a running daemon: status, counters, drain, help")
+    static final class Attach implements Callable<Integer> {
+        @Option(names = "--at", description = "the daemon's control address; default: as the appliance's file says")
+        private String at;
+
+        @Option(names = "--appliance", description = "file with the control address",
+                defaultValue = "deploy/appliance.properties")
+        private Path appliance;
+
+        @CommandLine.Parameters(arity = "0..1", paramLabel = "COMMAND",
+                description = "one command to send; without it the console asks for commands")
+        private String command;
+
+        @Override
+        public Integer call() throws Exception {
+            InetSocketAddress address = at != null ? Config.address("--at", at)
+                    : Config.appliance(appliance).control();
+            if (address == null) {
+                throw new Config.BadConfigException("control.listen is off, and no --at says where to attach");
+            }
+            return new Console(System.in, System.out, System.err).attach(address, command);
+        }
+    }
+
     /** What this is. */
     @Command(name = "version", description = "print the version")
     static final class Version implements Callable<Integer> {
--- a/src/main/java/wharftrestle/core/Core.java
+++ b/src/main/java/wharftrestle/core/Core.java
@@ -35,7 +35,7 @@
     /** The final answer; retryAfter in seconds, 0 for no advice. */
     public record Answer(Kind kind, byte[] result, double retryAfter, boolean nowhereElse) {
         /** How a request came out. */
-        public enum Kind { SERVED, REFUSED, FAILED }
+        public enum Kind { SERVED, REFUSED, FAILED, LATE }
 
         private static final byte[] NOTHING = new byte[0];
 
@@ -47,6 +47,10 @@
             return new Answer(Kind.FAILED, NOTHING, 0, false);
         }
 
+        static Answer late() {
+            return new Answer(Kind.LATE, NOTHING, 0, false);
+        }
+
         static Answer refused(double retryAfter, boolean nowhereElse) {
             return new Answer(Kind.REFUSED, NOTHING, retryAfter, nowhereElse);
         }
@@ -123,6 +127,7 @@
     private static final class Task {
         final long id;
         final Arrival arrival;
+        final String key;      // of this class and tenant only: another's result is never theirs
         final Caller caller;
         final Condition signal;
         final ArrayDeque<Step> steps = new ArrayDeque<>();
@@ -136,6 +141,7 @@
         byte[] callBody;
         Step unheard;          // last command to the worker pool that no notice has followed
         Call call;
+        boolean callFailed;    // not by time: what the module then fails did not lapse
         int callNumber;
         double callSince;
         KeyEntry entry;
@@ -143,6 +149,8 @@
         Task(long id, Arrival arrival, Caller caller, Condition signal) {
             this.id = id;
             this.arrival = arrival;
+            this.key = arrival.key() == null ? null
+                    : arrival.classIndex() + "/" + arrival.tenantIndex() + "/" + arrival.key();
             this.caller = caller;
             this.signal = signal;
         }
@@ -220,6 +228,16 @@
         return settings;
     }
 
+    /** True once the worker pool is up, and with it the module. */
+    public boolean ready() {
+        lock.lock();
+        try {
+            return module != null;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     public boolean healthy() {
         return healthy;
     }
@@ -242,7 +260,7 @@
             lock.unlock();
         }
         try {
-            threads.execute(() -> live(task));
+            threads.execute(() -> guarded(task));
         } catch (RejectedExecutionException full) {
             // Guards against threads filling the memory in a flood: what finds none is turned away unread
             // by the module, or failed where another try of it ran.
@@ -251,6 +269,28 @@
         return task;
     }
 
+    /** Guards against a fault of ours in one request taking an answer with it. */
+    private void guarded(Task task) {
+        try {
+            live(task);
+        } catch (RuntimeException fault) {
+            Logger.error(fault, "request {}", task.arrival.ref());
+            boolean owed;
+            lock.lock();
+            try {
+                owed = !task.answered || task.steps.removeIf(step -> step.kind() == Kind.ANSWER);
+                task.answered = true;
+                forget(task);
+            } finally {
+                lock.unlock();
+            }
+            if (owed) {
+                counters.add(Count.FAILED);
+                task.caller.answer(Answer.failed());
+            }
+        }
+    }
+
     /** One request from its arrival to its last word. */
     private void live(Task task) {
         Arrival arrival = task.arrival;
@@ -273,7 +313,7 @@
                     counters.add(switch (step.answer().kind()) {
                         case SERVED -> Count.SERVED;
                         case REFUSED -> Count.REFUSED;
-                        case FAILED -> Count.FAILED;
+                        case FAILED, LATE -> Count.FAILED;
                     });
                     task.caller.answer(step.answer());
                 }
@@ -301,10 +341,10 @@
             byId.put(task.id, task);
             byRef.put(a.ref(), task);
             sweepKeys(now);
-            KeyEntry prior = a.key() == null ? null : keys.get(a.key());
+            KeyEntry prior = task.key == null ? null : keys.get(task.key);
             boolean repeat = prior != null && (!prior.ran || a.door() <= prior.lastDoor);
             if (prior != null && !repeat) {
-                keys.remove(a.key());
+                keys.remove(task.key);
             }
             task.entry = repeat ? prior : null;
             module.arrived(now, new Admission.Request(task.id, false, lay, a.classIndex(), a.tenantIndex(),
@@ -335,7 +375,7 @@
                 } else if (wait <= 0) {
                     // Guards against a late answer should the module or its timer be held up.
                     counters.add(Count.BACKSTOPS);
-                    answer(task, Answer.failed());
+                    answer(task, Answer.late());
                     module.callerLeft(now(), task.id);
                     settle(now());
                 } else {
@@ -361,7 +401,7 @@
         boolean ran;
         lock.lock();
         try {
-            KeyEntry entry = task.arrival.key() == null ? null : keys.get(task.arrival.key());
+            KeyEntry entry = task.key == null ? null : keys.get(task.key);
             ran = entry != null && entry.ran;
             task.answered = true;
         } finally {
@@ -451,8 +491,13 @@
                 wakes.poll();
                 double[] seen = freshGauges();
                 double now = now();
-                module.timer(now, first.label(), seen);
-                settle(now);
+                try {
+                    module.timer(now, first.label(), seen);
+                    settle(now);
+                } catch (RuntimeException fault) {
+                    Logger.error(fault, "timer");   // without a timer, nothing held would ever be answered
+                    wakes.add(new Wake(now + 0.1, first.label()));
+                }
             }
         } catch (InterruptedException e) {
             throw new IllegalStateException("nobody interrupts the timer", e);
@@ -549,6 +594,7 @@
             }
             task.unheard = null;
             task.notice = notice;
+            task.callFailed = false;
             task.callBody = body;
             double now = now();
             module.standsAtCall(now, task.id);
@@ -627,6 +673,7 @@
             }
             task.callNumber++;
             task.call = null;
+            task.callFailed = outcome != Outcome.SUCCESS && outcome != Outcome.TIMED_OUT;
             double now = now();
             if (outcome == Outcome.SUCCESS) {
                 command(task, new Step(Kind.SUPPLY, reply, 0, null));
@@ -696,8 +743,8 @@
         }
         Arrival a = task.arrival;
         task.since = now();
-        if (a.key() != null) {
-            KeyEntry entry = keys.computeIfAbsent(a.key(), key -> new KeyEntry());
+        if (task.key != null) {
+            KeyEntry entry = keys.computeIfAbsent(task.key, key -> new KeyEntry());
             if (entry.ran && a.door() <= entry.lastDoor) {
                 // Guards against a second run of one key, whatever the module holds of it.
                 Logger.warn("a second run of one key was asked for; its try joins the first");
@@ -730,7 +777,7 @@
     public void fail(long id) {
         Task task = byId.get(id);
         if (task != null) {
-            answer(task, Answer.failed());
+            answer(task, task.callFailed ? Answer.failed() : Answer.late());
             if (task.attached && task.entry != null) {
                 task.entry.riders.remove(task);
             }
@@ -765,24 +812,24 @@
     @Override
     public void keep(long id, double time) {
         Task task = byId.get(id);
-        if (task == null || task.arrival.key() == null) {
+        if (task == null || task.key == null) {
             return;
         }
-        KeyEntry known = keys.get(task.arrival.key());
+        KeyEntry known = keys.get(task.key);
         if (known != null && known.ran && task.arrival.door() <= known.lastDoor) {
             return;   // the try that ran stays the one that repeats are told of
         }
         KeyEntry entry = new KeyEntry();
         entry.holder = task;
         task.entry = entry;
-        keys.put(task.arrival.key(), entry);
+        keys.put(task.key, entry);
     }
 
     @Override
     public void release(long id) {
         Task task = byId.get(id);
         if (task != null && task.entry != null && task.entry.holder == task && !task.entry.ran) {
-            keys.remove(task.arrival.key(), task.entry);
+            keys.remove(task.key, task.entry);
             finishEntry(task.entry, null);
         }
     }
--- a/src/main/java/wharftrestle/front/Resp.java
+++ b/src/main/java/wharftrestle/front/Resp.java
@@ -127,7 +127,7 @@
             }
             connection.send(switch (answer.kind()) {
                 case SERVED -> array(tag, "done", "", answer.result());
-                case FAILED -> array(tag, "error", "", answer.result());
+                case FAILED, LATE -> array(tag, "error", "", answer.result());
                 case REFUSED -> array(tag, "later", advice(answer), answer.result());
             });
         }
--- a/src/main/java/wharftrestle/net/Server.java
+++ b/src/main/java/wharftrestle/net/Server.java
@@ -48,6 +48,7 @@
         private int waiting;
         private boolean writing;
         private boolean closed;
+        private boolean finishing;
 
         Connection(Socket socket) throws IOException {
             this.socket = socket;
@@ -94,6 +95,9 @@
                         if (message == null) {
                             writing = false;
                             queue.notifyAll();
+                            if (finishing && !closed) {
+                                socket.shutdownOutput();
+                            }
                             return;
                         }
                         waiting -= message.length;
@@ -105,6 +109,18 @@
             }
         }
 
+        /** Ends this side once all that was sent is written. */
+        public void finish() {
+            synchronized (queue) {
+                finishing = true;
+                if (writing || closed) {
+                    return;
+                }
+                writing = true;
+            }
+            drain();
+        }
+
         /** Waits until all that was sent is written, at most so long. */
         public void awaitWritten(long millis) throws InterruptedException {
             long end = System.nanoTime() + millis * 1_000_000;
--- /dev/null
+++ b/src/test/java/wharftrestle/DaemonTest.java
@@ -0,0 +1,232 @@
+package wharftrestle;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import wharftrestle.Loopback.Caller;
+import wharftrestle.Loopback.Command;
+import wharftrestle.Loopback.Reply;
+import wharftrestle.ops.Counters.Count;
+
+/** Stories of the daemon over the platform's wire, one for each failure met or guarded against. */
+class DaemonTest {
+    private static Sites.Builder calling() {
+        Sites.Builder site = Sites.site();
+        site.calls = true;
+        return site;
+    }
+
+    private static String ref(long number) {
+        return String.format("%016x", number);
+    }
+
+    @Test
+    void aRequestGoesThroughPoolAndStoreUnchanged() throws Exception {
+        try (Loopback site = new Loopback(calling()); Caller caller = site.new Caller()) {
+            caller.ask(7, "read", null, "a\r\n\0b");
+            assertEquals(new Command("spawn", ref(7), "read", "a\r\n\0b"), site.command());
+            site.block(ref(7), "select\r\n1");
+            site.storeReplies.add(Loopback.http("200 OK", "", "row\r\n"));
+            String call = site.calls.poll(Loopback.WAIT_S, TimeUnit.SECONDS);
+            assertTrue(call.startsWith("POST /v1/exec HTTP/1.1\n") && call.endsWith("select\r\n1"), call);
+            assertTrue(call.contains("Request-Ref: " + ref(7)) && call.contains("Statement-Timeout-Ms: "), call);
+            assertEquals(new Command("supply", ref(7), "", "row\r\n"), site.command());
+            site.finish(ref(7), "good", 22.601, "the result");   // durations come with decimals
+            assertEquals(new Reply("7", "done", "", "the result"), caller.reply());
+        }
+    }
+
+    @Test
+    void onlyProofLetsAnEffectfulCallBeMadeAgain() throws Exception {
+        try (Loopback site = new Loopback(calling()); Caller caller = site.new Caller()) {
+            caller.ask(1, "keyed", "k1", "x");
+            site.command();
+            site.block(ref(1), "insert");
+            site.storeReplies.add(Loopback.http("503 Busy", "Never-Started: 1\r\n", ""));   // proof: made again
+            site.storeReplies.add(Loopback.http("409 Conflict", "Never-Started: 1\r\n", ""));
+            site.storeReplies.add("");   // a connection that breaks proves nothing
+            assertEquals("error", caller.reply().word());
+            assertEquals(3, site.calls.size());
+        }
+    }
+
+    @Test
+    void commandsLostWithALinkAreSentAgain() throws Exception {
+        try (Loopback site = new Loopback(calling()); Caller caller = site.new Caller()) {
+            caller.ask(1, "keyed", "k1", "first");
+            site.command();
+            site.finish(ref(1), "good", 5, "done before");
+            assertEquals("done", caller.reply().word());
+            caller.ask(2, "read", null, "second");
+            assertEquals("spawn", site.command().verb());
+            site.breakLink();
+            assertEquals("1", site.command().rest(), "bound with the last notice read");
+            // The worker pool has said nothing of 2 since, so that spawn may be lost; 1 is known to be over.
+            assertEquals(new Command("spawn", ref(2), "read", "second"), site.command());
+            site.breakLink();
+            site.finish(ref(2), "good", 9, "heard after the bind");
+            site.command();
+            assertEquals("heard after the bind", caller.reply().body());
+            assertNull(site.commands.poll(100, TimeUnit.MILLISECONDS), "nothing is sent again of what has ended");
+        }
+    }
+
+    @Test
+    void aKeyRunsOnceAndItsTriesShareTheResult() throws Exception {
+        try (Loopback site = new Loopback(Sites.site()); Caller one = site.new Caller();
+                Caller two = site.new Caller()) {
+            long door = System.currentTimeMillis();
+            one.ask(1, 1, door, "keyed", "k", "note");
+            assertEquals("spawn", site.command().verb());
+            two.ask(1, 2, door + 5, "keyed", "k", "note");    // joins the run
+            two.send("STATUS", "9", "");
+            assertEquals("healthy", two.reply().word());
+            site.finish(ref(1), "good", 20, "saved");
+            assertEquals("saved", one.reply().body());
+            assertEquals("saved", two.reply().body());
+            two.ask(2, 3, door + 12_000, "keyed", "k", "note");   // stamped at the window's end: replayed
+            assertEquals(new Reply("2", "done", "", "saved"), two.reply());
+            two.ask(3, 4, door + 13_000, "keyed", "k", "note");   // past it: new work
+            assertEquals(new Command("spawn", ref(4), "keyed", "note"), site.command());
+            site.finish(ref(4), "bad", 20, "");
+            assertEquals("error", two.reply().word());
+            two.ask(4, 5, door + 13_005, "keyed", "k", "note");   // a failed run is a run: no refusal, no second
+            assertEquals("error", two.reply().word());
+            assertNull(site.commands.poll(), "no other run");
+        }
+    }
+
+    @Test
+    void aRunThatHangsIsAnsweredWhenItIsDue() throws Exception {
+        try (Loopback site = new Loopback(Sites.site()); Caller caller = site.new Caller()) {
+            long door = System.currentTimeMillis() - 5700;   // read late: 300 ms are left
+            caller.ask(1, 1, door, "keyed", "k", "x");
+            Reply reply = caller.reply();
+            long late = System.currentTimeMillis() - door - 6000;
+            assertTrue(reply.word().equals("later") || reply.word().equals("error"), reply.word());
+            assertTrue(late <= 110, late + " ms past the due time");
+        }
+    }
+
+    @Test
+    void aCallerThatLeavesIsNotAnsweredAndItsWorkStops() throws Exception {
+        try (Loopback site = new Loopback(Sites.site()); Caller caller = site.new Caller()) {
+            caller.ask(1, "read", null, "x");
+            assertEquals("spawn", site.command().verb());
+            caller.send("NEVERMIND", "1");
+            assertEquals(new Command("suspend", ref(1), "", ""), site.command());
+            site.finish(ref(1), "cut", 5, "");
+            caller.send("STATUS", "2", "");
+            assertEquals("2", caller.reply().tag(), "no answer is owed to 1");
+            caller.ask(3, "read", null, "y");
+            assertEquals("spawn", site.command().verb());
+            caller.close();   // the end of a connection says the same of all that is open on it
+            assertEquals(new Command("suspend", ref(3), "", ""), site.command());
+        }
+    }
+
+    @Test
+    void nonsenseClosesItsConnectionOnly() throws Exception {
+        try (Loopback site = new Loopback(Sites.site()); Caller good = site.new Caller()) {
+            for (String bad : new String[] {"GET / HTTP/1.1\r\n", "*9999999\r\n", "*2\r\n$999999999\r\n",
+                "*1\r\n$-1\r\n", "*3\r\n$3\r\nASK\r\n$1\r\n1\r\n$4\r\nread\r\n"}) {
+                try (Caller peer = site.new Caller()) {
+                    peer.socket.getOutputStream().write(bad.getBytes("ISO-8859-1"));
+                    assertEquals(-1, peer.socket.getInputStream().read(), bad);
+                }
+            }
+            assertEquals(5, site.life.counters().get(Count.MALFORMED));
+            site.raw("what is this\r\n");   // the worker pool's link too: it is made anew
+            assertEquals("bind", site.command().verb());
+            good.ask(1, "read", null, "x");
+            site.finish(site.command().ref(), "good", 1, "fine");
+            assertEquals("fine", good.reply().body());
+        }
+    }
+
+    @Test
+    void aPeerThatDoesNotReadHoldsUpNobody() throws Exception {
+        try (Loopback site = new Loopback(Sites.site()); Caller slow = site.new Caller();
+                Caller good = site.new Caller()) {
+            Thread flood = new Thread(() -> {
+                try {
+                    for (int i = 1;; i++) {
+                        slow.send("STATUS", Integer.toString(i), "");
+                    }
+                } catch (IOException e) {
+                    return;   // cut, or the story is over
+                }
+            });
+            flood.setDaemon(true);
+            flood.start();
+            for (int i = 1; i <= 20; i++) {
+                good.ask(i, "read", null, "x");
+                site.finish(site.command().ref(), "good", 1, "fine");
+                assertEquals("fine", good.reply().body());
+            }
+        }
+    }
+
+    @Test
+    void onNoticeAllThatWasReadIsAnsweredAndNothingLateRuns() throws Exception {
+        try (Loopback site = new Loopback(Sites.site()); Caller caller = site.new Caller()) {
+            assertEquals("renew n1 yes", site.report());
+            caller.ask(1, "read", null, "x");
+            assertEquals("spawn", site.command().verb());
+            caller.ask(2, "long", null, "hangs");
+            assertEquals("spawn", site.command().verb());
+            Thread stopping = new Thread(() -> {
+                try {
+                    site.life.serveUntilStopped();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            stopping.start();
+            site.life.leave();
+            for (String report = site.report(); !report.equals("renew n1 no"); report = site.report()) {
+                assertEquals("renew n1 yes", report);
+            }
+            caller.send("STATUS", "3", "");
+            assertEquals("sick", caller.reply().word());
+            site.finish(ref(1), "good", 30, "in time");
+            assertEquals("in time", caller.reply().body());
+            assertEquals("closing", caller.reply().word());   // once the grace is over
+            caller.ask(4, "read", null, "late");
+            Reply late = caller.reply();
+            assertEquals("4 later", late.tag() + " " + late.word());
+            Reply last = caller.reply();   // hangs to the end: failed before the process is stopped
+            assertEquals("2 error", last.tag() + " " + last.word());
+            caller.close();
+            stopping.join(TimeUnit.SECONDS.toMillis(Loopback.WAIT_S));
+            assertEquals(Lifecycle.State.STOPPED, site.life.state());
+            assertTrue(site.commands.stream().noneMatch(c -> c.verb().equals("spawn")), "nothing ran that came late");
+        }
+    }
+
+    @Test
+    void badConfigurationIsOneLine() throws Exception {
+        for (String listen : new String[] {"nowhere", "127.0.0.1:99999", "example.org:80"}) {
+            try {
+                net(listen);
+                throw new AssertionError(listen + " was taken");
+            } catch (wharftrestle.net.Config.BadConfigException e) {
+                assertEquals(1, e.getMessage().lines().count());
+            }
+        }
+        try (ServerSocket taken = new ServerSocket(0)) {
+            assertEquals(new InetSocketAddress("127.0.0.1", taken.getLocalPort()),
+                    net("127.0.0.1:" + taken.getLocalPort()));
+        }
+    }
+
+    private static InetSocketAddress net(String text) throws wharftrestle.net.Config.BadConfigException {
+        return wharftrestle.net.Config.address("listen", text);
+    }
+}
--- /dev/null
+++ b/src/test/java/wharftrestle/Loopback.java
@@ -0,0 +1,336 @@
+package wharftrestle;
+
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import wharftrestle.net.Bytes;
+import wharftrestle.net.Config;
+
+/** The one helper of the daemon's stories: a daemon on loopback with scripted peers all round it. */
+final class Loopback implements Closeable {
+    static final long WAIT_S = 10;
+    private static final InetAddress HOST = InetAddress.getLoopbackAddress();
+
+    /** A command that the worker pool read, with its body. */
+    record Command(String verb, String ref, String rest, String body) { }
+
+    /** An answer as a front end reads it. */
+    record Reply(String tag, String word, String fields, String body) { }
+
+    final ServerSocket pool = new ServerSocket(0, 50, HOST);
+    final ServerSocket store = new ServerSocket(0, 50, HOST);
+    final DatagramSocket naming = new DatagramSocket(0, HOST);
+    final BlockingQueue<Command> commands = new LinkedBlockingQueue<>();
+    final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
+    final BlockingQueue<String> storeReplies = new LinkedBlockingQueue<>();
+    final List<String> notices = new ArrayList<>();
+    final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+    final ScheduledExecutorService cores = Executors.newScheduledThreadPool(2);
+    final AtomicInteger running = new AtomicInteger();
+    final Lifecycle life;
+    /** Where set, each spawn takes a core for this many ms, when one is free, and ends well with its body. */
+    volatile double autoMs = -1;
+    private final long[] coreFree = {System.nanoTime(), System.nanoTime()};
+    private final List<long[]> work = new ArrayList<>();
+    private volatile Socket link;
+
+    Loopback(Sites.Builder site) throws Exception {
+        this(site, new Config.Appliance(null, null, null, "public", 24));
+    }
+
+    Loopback(Sites.Builder site, Config.Appliance appliance) throws Exception {
+        Config config = new Config("n1", new InetSocketAddress(HOST, 0), at(pool), at(store),
+                new InetSocketAddress(HOST, naming.getLocalPort()), 7, 3.2, 1024, site.build());
+        thread(this::servePool);
+        thread(this::serveStore);
+        life = new Lifecycle(config, appliance);
+        life.start();
+        awaitBound();
+    }
+
+    static InetSocketAddress any() {
+        return new InetSocketAddress(HOST, 0);
+    }
+
+    private static InetSocketAddress at(ServerSocket socket) {
+        return (InetSocketAddress) socket.getLocalSocketAddress();
+    }
+
+    private interface Body {
+        void run() throws Exception;
+    }
+
+    private static void thread(Body body) {
+        Thread thread = new Thread(() -> {
+            try {
+                body.run();
+            } catch (Exception e) {
+                return;   // its socket was closed: the story is over
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    // ---- Worker pool ----
+
+    private void servePool() throws Exception {
+        for (;;) {
+            Socket socket = pool.accept();
+            socket.setTcpNoDelay(true);
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            String[] bind = Bytes.line(in, 100).split(" ");
+            synchronized (notices) {
+                link = socket;
+                write(socket, "bound old 12.750\r\n");
+                for (String notice : notices.subList(Integer.parseInt(bind[1]), notices.size())) {
+                    write(socket, notice);
+                }
+            }
+            commands.add(new Command("bind", "", bind[1], ""));
+            thread(() -> {
+                for (;;) {
+                    String line = Bytes.line(in, 200);
+                    String[] w = line.split(" ");
+                    String body = "";
+                    if (w[0].equals("spawn") || w[0].equals("supply")) {
+                        body = new String(Bytes.exactly(in, Integer.parseInt(w[w.length - 1])), "ISO-8859-1");
+                        Bytes.crlf(in);
+                    }
+                    take(socket, w, body);
+                }
+            });
+        }
+    }
+
+    private void take(Socket socket, String[] w, String body) throws Exception {
+        if (w[0].equals("poll")) {
+            write(socket, "polled " + w[1] + " " + busy() + " " + running.get() + "\r\n");
+            return;
+        }
+        if (w[0].equals("spawn") && autoMs >= 0) {
+            runs.computeIfAbsent(body, key -> new AtomicInteger()).incrementAndGet();
+            running.incrementAndGet();
+            long now = System.nanoTime();
+            int core = coreFree[0] <= coreFree[1] ? 0 : 1;
+            long from = Math.max(now, coreFree[core]);
+            coreFree[core] = from + (long) (autoMs * 1e6);
+            work.add(new long[] {from, coreFree[core]});
+            cores.schedule(() -> {
+                running.decrementAndGet();
+                finish(w[1], "good", (System.nanoTime() - now) / 1e6, body);
+                return null;
+            }, coreFree[core] - now, TimeUnit.NANOSECONDS);
+        } else {
+            commands.add(new Command(w[0], w[1], w[0].equals("spawn") ? w[2] : "", body));
+        }
+    }
+
+    /** Share of the two cores' time of the last half second that was spent on runs. */
+    private double busy() {
+        long now = System.nanoTime();
+        long span = 500_000_000;
+        work.removeIf(run -> run[1] < now - span);
+        return work.stream().mapToLong(run -> Math.max(0, Math.min(run[1], now) - Math.max(run[0], now - span)))
+                .sum() / (2.0 * span);
+    }
+
+    /** The next command that is no poll. */
+    Command command() throws InterruptedException {
+        Command next = commands.poll(WAIT_S, TimeUnit.SECONDS);
+        assertNotNull(next, "the worker pool was sent nothing");
+        return next;
+    }
+
+    private void awaitBound() throws InterruptedException {
+        command();
+        while (!life.core().ready()) {
+            Thread.onSpinWait();
+        }
+    }
+
+    void finish(String ref, String end, double ms, String result) throws IOException {
+        notice("finished %d " + ref + " " + end + " " + ms + " " + result.length() + "\r\n" + result + "\r\n");
+    }
+
+    void block(String ref, String call) throws IOException {
+        notice("blocked %d " + ref + " " + call.length() + "\r\n" + call + "\r\n");
+    }
+
+    /** Numbers a notice and sends it; without a link it waits for the next bind. */
+    private void notice(String text) throws IOException {
+        synchronized (notices) {
+            String numbered = text.replaceFirst("%d", Integer.toString(notices.size() + 1));
+            notices.add(numbered);
+            if (!link.isClosed()) {
+                write(link, numbered);
+            }
+        }
+    }
+
+    void raw(String text) throws IOException {
+        write(link, text);
+    }
+
+    void breakLink() throws IOException {
+        synchronized (notices) {
+            link.close();
+        }
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        synchronized (socket) {
+            socket.getOutputStream().write(Bytes.ascii(text));
+        }
+    }
+
+    // ---- Store: replies as scripted, one for each call; an empty reply breaks the connection ----
+
+    private void serveStore() throws Exception {
+        for (;;) {
+            Socket socket = store.accept();
+            socket.setTcpNoDelay(true);
+            thread(() -> {
+                InputStream in = new BufferedInputStream(socket.getInputStream());
+                for (;;) {
+                    StringBuilder head = new StringBuilder();
+                    int length = 0;
+                    for (String line = Bytes.line(in, 500); !line.isEmpty(); line = Bytes.line(in, 500)) {
+                        head.append(line).append('\n');
+                        length = line.startsWith("Content-Length: ") ? Integer.parseInt(line.substring(16)) : length;
+                    }
+                    calls.add(head + new String(Bytes.exactly(in, length), "ISO-8859-1"));
+                    String reply = storeReplies.take();
+                    if (reply.isEmpty()) {
+                        socket.close();
+                        return;
+                    }
+                    write(socket, reply);
+                }
+            });
+        }
+    }
+
+    static String http(String status, String headers, String body) {
+        return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** The next report at the name service. */
+    String report() throws IOException {
+        DatagramPacket packet = new DatagramPacket(new byte[100], 100);
+        naming.setSoTimeout((int) WAIT_S * 1000);
+        naming.receive(packet);
+        return new String(packet.getData(), 0, packet.getLength(), "ISO-8859-1");
+    }
+
+    // ---- Callers ----
+
+    /** A front end's connection. */
+    final class Caller implements Closeable {
+        final Socket socket = new Socket();
+        private final InputStream in;
+
+        Caller() throws IOException {
+            socket.setTcpNoDelay(true);
+            socket.connect(life.respAddress());
+            socket.setSoTimeout((int) WAIT_S * 1000);
+            in = new BufferedInputStream(socket.getInputStream());
+        }
+
+        void send(String... words) throws IOException {
+            StringBuilder text = new StringBuilder("*" + words.length + "\r\n");
+            for (String word : words) {
+                text.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
+            }
+            write(socket, text.toString());
+        }
+
+        /** Asks; the reference is the tag in hex, the key null where the class has none. */
+        void ask(int tag, String type, String key, String body) throws IOException {
+            ask(tag, tag, System.currentTimeMillis(), type, key, body);
+        }
+
+        void ask(int tag, long ref, long door, String type, String key, String body) throws IOException {
+            send("ASK", Integer.toString(tag), type, String.format("txn=%016x,door=%d,lb=1,ram=24.5,standing=0.5",
+                    ref, door) + (key == null ? "" : ",unique=" + key), body);
+        }
+
+        Reply reply() throws IOException {
+            String[] words = new String[Integer.parseInt(Bytes.line(in, 20).substring(1))];
+            for (int i = 0; i < words.length; i++) {
+                int length = Integer.parseInt(Bytes.line(in, 20).substring(1));
+                words[i] = new String(Bytes.exactly(in, length), "ISO-8859-1");
+                Bytes.crlf(in);
+            }
+            return new Reply(words[0], words[1], words[2], words[3]);
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    /** A uwsgi packet: variables in pairs, then the body. */
+    static byte[] packet(String body, String... vars) {
+        byte[] block = new byte[0];
+        for (String word : vars) {
+            block = Bytes.join(block, new byte[] {(byte) word.length(), (byte) (word.length() >> 8)},
+                    Bytes.ascii(word));
+        }
+        return Bytes.join(new byte[] {0, (byte) block.length, (byte) (block.length >> 8), 0}, block,
+                Bytes.ascii(body));
+    }
+
+    /** A stand-in gateway's connection with a request on its way. */
+    Socket gateway(byte[] packet) throws IOException {
+        Socket socket = new Socket();
+        socket.connect(life.uwsgiAddress());
+        socket.setSoTimeout((int) WAIT_S * 1000);
+        OutputStream out = socket.getOutputStream();
+        out.write(packet);
+        return socket;
+    }
+
+    Socket post(String path, String key, String body) throws IOException {
+        return gateway(packet(body, "REQUEST_METHOD", "POST", "PATH_INFO", path, "CONTENT_LENGTH",
+                Integer.toString(body.length()), "HTTP_IDEMPOTENCY_KEY", key));
+    }
+
+    /** The whole HTTP response, to the end of the connection. */
+    static String response(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), "ISO-8859-1");
+    }
+
+    @Override
+    public void close() throws IOException {
+        life.close();
+        cores.shutdownNow();
+        pool.close();
+        store.close();
+        naming.close();
+        if (link != null) {
+            link.close();
+        }
+    }
+}
