Compare the fronts by their best passes, as a busy machine only takes service away

Ruled out: the fronts (no answer owed, no key twice, no refusal by a guard). At fault: a single pass for each side in UwsgiTest. Now up to five of each, ended by agreement; a real loss of over 2% shows in every pass and still fails. Conclusion: the verdict no longer hangs on one disturbed pass.

--- a/src/test/java/wharftrestle/UwsgiTest.java
+++ b/src/test/java/wharftrestle/UwsgiTest.java
@@ -118,6 +118,8 @@
     /** Requests that then come at once, so that the hold is full from there on. */
     private static final int AT_ONCE = 36;
     private static final int REQUESTS = 500;
+    private static final double TOLERANCE = 0.02;
+    private static final int MOST_PASSES = 5;
 
     /** Worth served in time over worth asked for, where each request in {@code share} comes by uwsgi. */
     private static double service(double share) throws Exception {
@@ -214,9 +216,14 @@
     @Test
     void aMixOfFrontsServesAsMuchAsOne() throws Exception {
         service(0.5);   // warms the program up
-        double one = service(0);
-        double mix = service(0.5);
+        double one = 0;
+        double mix = 0;
+        // A busy machine only takes service away, so the best of some passes of each side is compared.
+        for (int pass = 0; pass < MOST_PASSES && (pass == 0 || Math.abs(one - mix) > TOLERANCE); pass++) {
+            one = Math.max(one, service(0));
+            mix = Math.max(mix, service(0.5));
+        }
         assertTrue(one > 0.85 && one <= 1, "service over RESP alone: " + one);
-        assertEquals(one, mix, 0.02, "service by worth, RESP alone against a mix");
+        assertEquals(one, mix, TOLERANCE, "service by worth, RESP alone against a mix");
     }
 }
