--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -37,9 +37,9 @@
     /** Consoles at once. */
     private static final int MOST_CONSOLES = 4;
     /** Seconds before the process is stopped by which all answers are out, even on crowded cores. */
-    private static final double SPARE = 0.3;
+    private static final double SPARE = 0.5;
     /** Seconds before the stop at which peers that have not closed are no longer waited for. */
-    private static final double LAST = 0.2;
+    private static final double LAST = 0.35;
 
     /** Seconds past the grace in which what crosses its end on the way is still taken. */
     private static final double CROSSING = 0.05;
