Say closing once the listener has ended, so that nobody who came last is cut

Cause: Lifecycle told the open connections first and ended the listener then; who came between never heard of it.

--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -223,8 +223,8 @@
         }
         enter(State.CLOSING);
         // From here on nothing that comes may run: callers are better served by a refused connection.
-        resp.connections().forEach(Resp::sayClosing);
         resp.stopListening();
+        resp.connections().forEach(Resp::sayClosing);
         if (uwsgi != null) {
             uwsgi.stopListening();
         }
--- a/src/main/java/wharftrestle/net/Server.java
+++ b/src/main/java/wharftrestle/net/Server.java
@@ -259,6 +259,10 @@
                 Connection connection = new Connection(socket);
                 open.add(connection);
                 counters.add(Count.CONNECTIONS);
+                if (closing) {
+                    // Guards against a peer that came with the end of the listener and never heard of it.
+                    front.dismiss(connection);
+                }
                 try {
                     Core.thread(name, () -> serve(connection)).start();
                 } catch (Error noThread) {
