Keyed calls on new connections, late calls given up, runs go on without a call near the aim

Lines: StoreClient.fresh (an idle connection for a call that may not be repeated), GroupEdfScheduler.callUntil. Also: late timers tell of the host's own stalls, which are taken off what judges illness.

--- a/src/main/java/wharftrestle/GroupEdfScheduler.java
+++ b/src/main/java/wharftrestle/GroupEdfScheduler.java
@@ -60,6 +60,14 @@
     private static final double CALL_LEARN = 1.0 / 10;
     /** Seconds taken for the mean call before one was seen. */
     private static final double CALL_SEED = 0.1;
+    /**
+     * Times the mean call for which one is waited: some never end, and each holds a part of the share. What may
+     * not be repeated is lost with its call, so that one is waited for longer.
+     */
+    private static final double CALL_PATIENCE = 10;
+    private static final double CALL_PATIENCE_ONCE = 20;
+    /** Seconds for which one is waited at least: a host may stand still as long. */
+    private static final double CALL_LEAST = 0.25;
     /** Seconds before the first repeat of a call; doubles each time. */
     private static final double CALL_BACKOFF = 0.05;
     /** Seconds over which tenants' rates are averaged: some dozens of requests. */
@@ -81,6 +89,10 @@
     private static final double ILL_STRAIN = 5;
     /** Mean runs that ran as expected added to that sum: few runs in hand are little evidence. */
     private static final double STRAIN_PRIOR = 3;
+    /** Seconds a timer may come late, for its gauges, before the host counts as stalled. */
+    private static final double TIMER_LATE = 0.02;
+    /** Seconds over which a stall of the host is forgotten: the runs it touched are over by then. */
+    private static final double STALL_SPAN = 2;
     /**
      * Times the least-seen latency, in the mean of a dozen runs, from which this machine counts as ill.
      * Guards against a crowd's stretch, 2.5 times in a dozen uneven runs, taking it off the list.
@@ -188,6 +200,8 @@
     private double lookAt;
     private double failures;       // decayed share of runs that failed by themselves
     private double meanOwn;        // decayed mean of own time over all classes
+    private double stall;          // longest late timer of late, which what runs did not cause
+    private double stallAt;
     private double strain;         // time on cores over estimate, of what runs
     private boolean healthy = true;
     private double illUntil = Double.NEGATIVE_INFINITY;
@@ -321,6 +335,8 @@
     @Override
     public void timer(double now, long label, double[] gauges) {
         if (now >= timerAt) {
+            stall = Math.max(now - timerAt - TIMER_LATE, stall * Math.exp((stallAt - now) / STALL_SPAN));
+            stallAt = now;
             timerAt = Double.POSITIVE_INFINITY;
         }
         look(now, gauges);
@@ -381,7 +397,8 @@
         double level = s.cost > 0 ? s.own / s.cost : s.own;
         if (s.runs >= BASE_AFTER) {
             s.base = s.base == 0 ? level : Math.min(level, s.base + BASE_AGING * (level - s.base));
-            double unit = op.request.cost() > 0 ? own / op.request.cost() : own;
+            double sure = op.calls == 0 ? own : Math.max(0, own - stall);   // its calls ran on the host's clock
+            double unit = op.request.cost() > 0 ? sure / op.request.cost() : sure;
             latency += LEARN * (level / s.base - latency);
             drag += RUN_LEARN * (Math.min(RUN_MOST, unit / s.base) - drag);
         }
@@ -492,7 +509,7 @@
         for (Op op : ops.values()) {
             if (started(op) && !op.stopping) {
                 ahead += op.state == State.RUNNING ? rest(now, op) : 0;
-                done += now - op.started - off(now, op);
+                done += Math.max(0, now - op.started - off(now, op) - stall);
                 expected += own(op);
                 callsAhead += op.state == State.RUNNING ? Math.max(0, op.stats.calls - op.calls) : 1;
             }
@@ -698,12 +715,38 @@
         return settings.downstream() == Admission.Downstream.SHARED && settings.callShare() > 0;
     }
 
-    /** A call is given up only when its answer no longer pays: sooner, it fails or repeats for nothing. */
+    /**
+     * A call is given up when its answer no longer pays, or when it is so late that it will hardly end: sooner,
+     * it fails or repeats for nothing.
+     */
     private double callUntil(double now, Op op) {
+        double patience = op.type.repeat() == Admission.Repeat.SAFE ? CALL_PATIENCE : CALL_PATIENCE_ONCE;
         double until = op.answered ? now : usefulBy(now, op);
+        until = Math.min(until, now + Math.max(CALL_LEAST, patience * callMean));
+        if (op.type.skipWorth() > 0) {
+            until = Math.min(until, Math.max(now + settings.tick(), skipAt(op)));
+        }
         return bounded() ? Math.min(until, now + callBurst()) : until;
     }
 
+    /** From when a run that still stands at a call could not end within its aim with it, only without. */
+    private double skipAt(Op op) {
+        return op.aimBy - own(op);
+    }
+
+    /** Goes on without the call where part of the worth is kept: the whole of it is lost otherwise. */
+    private boolean skipped(double now, double again, Op op) {
+        if (op.answered || op.type.skipWorth() <= 0 || again < skipAt(op) || now > op.aimBy) {
+            return false;
+        }
+        atCall.remove(op);
+        op.offCores += now - op.callSince;
+        op.state = State.RUNNING;
+        onCores++;
+        act.skipCall(op.request.id());
+        return true;
+    }
+
     /** Led by latency as the running limit is: more calls than slots only slow a dependency that is slow. */
     private double callsAllowed() {
         double part = CALLS_QUICK * Math.min(1, CALL_TOLERANCE * callBase / callMean);
@@ -723,7 +766,7 @@
         }
         countCalls(now);
         for (Op op : List.copyOf(atCall)) {
-            if (op.answered || now < op.callAgain) {
+            if (op.answered || skipped(now, now, op) || now < op.callAgain) {
                 continue;
             }
             if (bounded() && callsInHand > 0 && (callsInHand >= callsAllowed()
@@ -758,6 +801,9 @@
         atCall.add(op);
         op.callAgain = now + CALL_BACKOFF * (1 << Math.min(op.callTries, 6)) * (0.5 + random.nextDouble());
         // An effectful call may have been carried out: it is repeated only when it provably was not.
+        if (skipped(now, op.callAgain, op)) {
+            return;
+        }
         boolean mayRepeat = op.type.repeat() == Admission.Repeat.SAFE || outcome.neverRan();
         if (!op.answered && (!mayRepeat || op.callAgain > op.aimBy)) {
             fail(op);
@@ -892,7 +938,8 @@
      * is lost, while others could serve it. Own runs alone count, never calls, for a bad dependency strikes
      * all at once. A machine that reads late and refuses all has no runs to go by; that counts only
      * without further tries about, as in a storm all machines are so. Were all machines ill together, trials
-     * of at least the same length, out of step, keep half of them in the list.
+     * of at least the same length, out of step, keep half of them in the list. A host that was held up itself
+     * sees short runs as overdue: its late timers tell how much of that is its own.
      */
     private void judgeHealth(double now) {
         if (leftAt <= now) {
--- a/src/main/java/wharftrestle/core/Core.java
+++ b/src/main/java/wharftrestle/core/Core.java
@@ -84,7 +84,7 @@
     public interface Store {
         /**
          * Sends a call on another thread and returns at once; the end is told once unless it is abandoned.
-         * Where it may not be made {@code again}, it is sent only where no connection can break for age.
+         * Where it may not be made {@code again}, it never shares a connection that can have ended meanwhile.
          */
         Call begin(String ref, byte[] body, long timeoutMs, boolean again, CallEnd end);
     }
--- a/src/main/java/wharftrestle/net/StoreClient.java
+++ b/src/main/java/wharftrestle/net/StoreClient.java
@@ -38,8 +38,6 @@
     private static final int MOST_IDLE = 16;
     /** The store closes idle ones at 10 s at the latest, and what lies between may forget them sooner. */
     private static final long FRESH_NANOS = 2_000_000_000L;
-    /** The same for a call that may not be made again: a connection that breaks under it loses it. */
-    private static final long YOUNG_NANOS = 200_000_000L;
     /** Idle for less than this, a connection is taken as it is: a look for its end costs a millisecond. */
     private static final long HOT_NANOS = 50_000_000L;
     /** Milliseconds past the call's limit in which the store's own word of it may come. */
@@ -144,7 +142,9 @@
             if (System.nanoTime() >= until) {
                 return new Reply(Outcome.TIMED_OUT, null, false);   // while it waited for a thread
             }
-            Link link = fresh(again ? FRESH_NANOS : YOUNG_NANOS);
+            // Guards against losing a call that may not be made again to a connection that has ended, or was
+            // forgotten, while it was idle: nothing tells before the call, and its reset proves nothing.
+            Link link = again ? fresh() : null;
             try {
                 if (link == null) {
                     InetSocketAddress to = address;
@@ -209,19 +209,17 @@
         return (int) Math.max(1, (until - System.nanoTime()) / 1_000_000);
     }
 
-    private Link fresh(long oldest) {
+    private Link fresh() {
         for (;;) {
             Link link;
             synchronized (idle) {
-                Link last = idle.peek();
-                if (last == null || System.nanoTime() - last.usedAt >= oldest
-                        && System.nanoTime() - last.usedAt < FRESH_NANOS) {
-                    return null;
-                }
                 link = idle.poll();
             }
+            if (link == null) {
+                return null;
+            }
             long age = System.nanoTime() - link.usedAt;
-            if (age < oldest && link.to.equals(address) && link.usable(age)) {
+            if (age < FRESH_NANOS && link.to.equals(address) && link.usable(age)) {
                 return link;
             }
             closeQuietly(link.socket);
