Overdue runs make a machine ill only where runs that end are slow too, or none ends

A dump at that moment: one run of 0.185 s between two in hand, and 20 runs whose spawn still waited for its thread while 157 requests were in hand: the runs were not slow, the host was. Lines: GroupEdfScheduler.judgeHealth and turnAway (strain counts from the decision, not from the socket).

--- a/src/main/java/wharftrestle/GroupEdfScheduler.java
+++ b/src/main/java/wharftrestle/GroupEdfScheduler.java
@@ -61,8 +61,8 @@
     /** Seconds taken for the mean call before one was seen. */
     private static final double CALL_SEED = 0.1;
     /**
-     * Times the mean call for which one is waited: some never end, and each holds a part of the share. What may
-     * not be repeated is lost with its call, so that one is waited for longer.
+     * Times the mean call for which one is waited: some never end, and each holds a part of the share. What
+     * may not be repeated is lost with its call, so that one is waited for longer.
      */
     private static final double CALL_PATIENCE = 10;
     private static final double CALL_PATIENCE_ONCE = 20;
@@ -87,6 +87,10 @@
      * against uneven runs: the long ones are in hand the longest, and 3 to 4 times is common in small crowds.
      */
     private static final double ILL_STRAIN = 5;
+    /** Seconds, and mean runs, without a run's end that confirm it; else slow ends must, by this drag. */
+    private static final double NO_END = 0.5;
+    private static final double NO_END_RUNS = 5;
+    private static final double SOME_DRAG = 1.5;
     /** Mean runs that ran as expected added to that sum: few runs in hand are little evidence. */
     private static final double STRAIN_PRIOR = 3;
     /** Seconds a timer may come late, for its gauges, before the host counts as stalled. */
@@ -202,6 +206,7 @@
     private double meanOwn;        // decayed mean of own time over all classes
     private double stall;          // longest late timer of late, which what runs did not cause
     private double stallAt;
+    private double lastEnd;        // when a run was last told to have ended by itself
     private double strain;         // time on cores over estimate, of what runs
     private boolean healthy = true;
     private double illUntil = Double.NEGATIVE_INFINITY;
@@ -219,6 +224,7 @@
         this.act = actions;
         random = new Random(seed);
         bornAt = now;
+        lastEnd = now;
         stats = new ClassStats[settings.classes().size()];
         for (int i = 0; i < stats.length; i++) {
             stats[i] = new ClassStats();
@@ -280,6 +286,7 @@
         }
         if (op.state == State.RUNNING && !op.stopping
                 && (outcome == Admission.Outcome.SUCCESS || outcome == Admission.Outcome.FAILURE)) {
+            lastEnd = now;
             failures += RUN_LEARN * ((outcome == Admission.Outcome.FAILURE ? 1 : 0) - failures);
         }
         leaveCall(now, op, true);
@@ -397,7 +404,7 @@
         double level = s.cost > 0 ? s.own / s.cost : s.own;
         if (s.runs >= BASE_AFTER) {
             s.base = s.base == 0 ? level : Math.min(level, s.base + BASE_AGING * (level - s.base));
-            double sure = op.calls == 0 ? own : Math.max(0, own - stall);   // its calls ran on the host's clock
+            double sure = op.calls == 0 ? own : Math.max(0, own - stall);   // calls are timed by the host
             double unit = op.request.cost() > 0 ? sure / op.request.cost() : sure;
             latency += LEARN * (level / s.base - latency);
             drag += RUN_LEARN * (Math.min(RUN_MOST, unit / s.base) - drag);
@@ -716,8 +723,8 @@
     }
 
     /**
-     * A call is given up when its answer no longer pays, or when it is so late that it will hardly end: sooner,
-     * it fails or repeats for nothing.
+     * A call is given up when its answer no longer pays, or when it is so late that it will hardly end:
+     * sooner, it fails or repeats for nothing.
      */
     private double callUntil(double now, Op op) {
         double patience = op.type.repeat() == Admission.Repeat.SAFE ? CALL_PATIENCE : CALL_PATIENCE_ONCE;
@@ -939,7 +946,8 @@
      * all at once. A machine that reads late and refuses all has no runs to go by; that counts only
      * without further tries about, as in a storm all machines are so. Were all machines ill together, trials
      * of at least the same length, out of step, keep half of them in the list. A host that was held up itself
-     * sees short runs as overdue: its late timers tell how much of that is its own.
+     * sees short runs as overdue, and so does one whose commands wait: late timers tell how much of that is
+     * its own, and runs in hand make it ill only where those that end are slow too, or none ends.
      */
     private void judgeHealth(double now) {
         if (leftAt <= now) {
@@ -951,7 +959,8 @@
             act.health(true, true);
         }
         if (healthy && now >= illUntil + ILL_SPAN
-                && (failures > ILL_FAILURES || strain > ILL_STRAIN || drag > ILL_DRAG
+                && (failures > ILL_FAILURES || strain > ILL_STRAIN && (drag > SOME_DRAG
+                || now - lastEnd > Math.max(NO_END, NO_END_RUNS * meanOwn)) || drag > ILL_DRAG
                 || unread > ILL_UNREAD && refusedShare > ILL_REFUSED
                 && settings.marksRetry() && furtherShare < RETRY_STORM / 2)) {
             illUntil = now + ILL_SPAN * (0.75 + random.nextDouble() / 2);
--- a/src/test/java/wharftrestle/GroupEdfSchedulerTest.java
+++ b/src/test/java/wharftrestle/GroupEdfSchedulerTest.java
@@ -488,6 +488,62 @@
         assertTrue(host.in(HELD).size() > 0);
     }
 
+    @Test
+    void aCallThatWillHardlyEndHoldsItsShareNoLonger() {
+        Sites.Builder site = Sites.site();
+        site.calls = true;
+        RecordingHost host = new RecordingHost(site.build());
+        for (int i = 0; i < 40; i++) {   // calls of 0.05 s
+            long id = host.arriveAndSettle(Sites.READ);
+            host.needCall(id);
+            host.endCall(id, Admission.Outcome.SUCCESS);
+            host.pass(0.1);
+            host.end(id, Admission.Outcome.SUCCESS);
+        }
+        long safe = host.arriveAndSettle(Sites.READ);
+        host.needCall(safe);
+        assertEquals(0.5, host.known.get(safe).notPast - host.now, 0.1, "it may be made again");
+        long once = host.arriveAndSettle(Sites.KEYED);
+        host.needCall(once);
+        assertEquals(1.0, host.known.get(once).notPast - host.now, 0.2, "its request is lost with it");
+    }
+
+    @Test
+    void aRunGoesOnWithoutACallThatWouldCostItsAim() {
+        Sites.Builder site = Sites.site();
+        site.calls = true;
+        site.skipWorth = 0.6;
+        RecordingHost host = new RecordingHost(site.build());
+        long id = host.arriveAndSettle(Sites.READ);
+        host.pass(0.5);
+        host.needCall(id);
+        for (double left = host.known.get(id).notPast - host.now; host.phase(id) == CALLING;
+                left = host.known.get(id).notPast - host.now) {
+            host.pass(left);
+            host.endCall(id, Admission.Outcome.TIMED_OUT);
+            host.pass(0.2);
+        }
+        assertEquals(RUNNING, host.phase(id));
+        assertTrue(host.log.contains("skip " + id));
+        host.end(id, Admission.Outcome.SUCCESS);
+        assertEquals("SUCCESS", host.answer(id));
+    }
+
+    @Test
+    void runsThatSeemOverdueAreNoIllnessWhileOthersEndInTime() {
+        RecordingHost host = new RecordingHost(Sites.site().build());
+        host.gauges = new double[0];
+        teach(host, Sites.LONG, 25, 0.1);
+        long waits = host.arriveAndSettle(Sites.LONG);   // its command has yet to cross the socket
+        for (int i = 0; i < 20; i++) {
+            long id = host.arriveAndSettle(Sites.LONG);
+            host.pass(0.1);
+            host.end(id, Admission.Outcome.SUCCESS);
+            assertTrue(host.healthy, "runs end as they always did");
+        }
+        host.end(waits, Admission.Outcome.SUCCESS);
+    }
+
     @Test
     void aSlowDependencyIsGivenFewerCallsAtOnce() {
         RecordingHost host = calling(20);
--- a/src/test/java/wharftrestle/RecordingHost.java
+++ b/src/test/java/wharftrestle/RecordingHost.java
@@ -306,6 +306,8 @@
     public void skipCall(long id) {
         log.add("skip " + id);
         assertTrue(settings.classes().get(own(id).request.classIndex()).skipWorth() > 0);
+        assertEquals(Phase.AT_CALL, own(id).phase);
+        own(id).phase = Phase.RUNNING;
     }
 
     @Override
--- a/src/test/java/wharftrestle/Sites.java
+++ b/src/test/java/wharftrestle/Sites.java
@@ -29,13 +29,14 @@
         double overShareWorth = 1;
         boolean marksRetry = true;
         boolean worthByWork;
+        double skipWorth;      // of an answer without its call
         double window = 12;    // in which a key may come again, in seconds
         double haste = 1;      // times by which all clients wait less
 
         private Admission.RequestClass type(String name, double aim, double deadline, double worth, double late,
                 Admission.Repeat repeat) {
             return new Admission.RequestClass(name, aim / haste, 0, deadline / haste, worth, late, repeat, window,
-                    calls, 0);
+                    calls, skipWorth);
         }
 
         Admission.Settings build() {
