--- a/src/test/java/wharftrestle/GroupEdfSchedulerTest.java
+++ b/src/test/java/wharftrestle/GroupEdfSchedulerTest.java
@@ -306,7 +306,7 @@
         RecordingHost host = new RecordingHost(Sites.site().build());
         untilOneIsRefused(host);
         assertFalse(host.lastNowhereElse);
-        for (int i = 0; i < 20; i++) {
+        for (int i = 0; i < 50; i++) {
             host.arrive(hinted(host, 3).further().build());
         }
         host.settle();
@@ -394,7 +394,7 @@
         site.justStarted = true;
         RecordingHost host = new RecordingHost(site.build());
         host.gauges = new double[] {0.3, 0};
-        for (int i = 0; i < 20; i++) {
+        for (int i = 0; i < 50; i++) {
             host.arrive(host.request(Sites.LONG).cost(0.2).build());
         }
         host.settle();
@@ -535,7 +535,7 @@
         host.gauges = new double[0];
         teach(host, Sites.LONG, 25, 0.1);
         long waits = host.arriveAndSettle(Sites.LONG);   // its command has yet to cross the socket
-        for (int i = 0; i < 20; i++) {
+        for (int i = 0; i < 50; i++) {
             long id = host.arriveAndSettle(Sites.LONG);
             host.pass(0.1);
             host.end(id, Admission.Outcome.SUCCESS);
