Use 1.6 of the 2 s of a drain's grace: the notice itself is heard late on crowded cores

Checked by a replay with logs: rules kept then; from the notice heard to the module 2 ms (ruled out), the listener ended 0.2 s late. So the signal's own way is what varies by 50 ms and more. Line: GroupEdfScheduler.tooLate took the grace whole. Test: seen to fail without it (it was run).

--- a/src/main/java/wharftrestle/GroupEdfScheduler.java
+++ b/src/main/java/wharftrestle/GroupEdfScheduler.java
@@ -133,6 +133,9 @@
     /** Seconds a key is kept beyond its window, for rounding. */
     private static final double KEY_SPARE = 0.02;
 
+    /** Seconds of the drain's grace that are not used: on crowded cores the notice itself is heard late. */
+    public static final double DRAIN_SPARE = 0.4;
+
     // ---- State ----
 
     private enum State { HELD, RUNNING, AT_CALL, CALLING, ATTACHED, OVER }
@@ -941,7 +944,7 @@
     // ---- Drain: nothing runs that came after the grace; all is answered before the stop ----
 
     private boolean tooLate(Op op) {
-        return op.arrived > leftAt + settings.drainGrace();
+        return op.arrived > leftAt + settings.drainGrace() - DRAIN_SPARE;
     }
 
     // ---- Health: bad while this machine fails or drags what it runs, with trials in between ----
--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -216,7 +216,8 @@
         notice.await();
         enter(State.LEAVING);
         core.leave(Math.max(0, left() - SPARE));
-        double grace = Math.min(config.settings().drainGrace(), config.stopSeconds() - 2 * SPARE) + CROSSING;
+        double grace = Math.min(config.settings().drainGrace() - GroupEdfScheduler.DRAIN_SPARE,
+                config.stopSeconds() - 2 * SPARE) + CROSSING;
         double open = grace - (config.stopSeconds() - left());
         if (open > 0) {
             Thread.sleep((long) (open * 1000));
--- a/src/test/java/wharftrestle/GroupEdfSchedulerTest.java
+++ b/src/test/java/wharftrestle/GroupEdfSchedulerTest.java
@@ -712,7 +712,10 @@
         assertFalse(host.healthy);
         long soon = host.arriveAndSettle(Sites.READ);
         assertEquals(RUNNING, host.phase(soon));
-        host.pass(2.5);
+        host.pass(1.7);
+        long close = host.arriveAndSettle(Sites.READ);
+        assertEquals("refused", host.answer(close), "the notice may have been heard late");
+        host.pass(0.8);
         long late = host.arriveAndSettle(Sites.READ);
         assertEquals("refused", host.answer(late));
         long early = host.arrive(host.request(Sites.LONG).lay(1).cost(0.1).build());
