--- a/src/main/java/wharftrestle/net/Bytes.java
+++ b/src/main/java/wharftrestle/net/Bytes.java
@@ -1,10 +1,12 @@
 package wharftrestle.net;
 
+import java.io.Closeable;
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import org.tinylog.Logger;
 
 /**
  * Owns the pieces that the parsers share: bounded lines, lengths, exact reads. A bound is checked before
@@ -131,6 +133,17 @@
         return text.getBytes(StandardCharsets.ISO_8859_1);
     }
 
+    /** Closes what may be null already or fail to close: its peer is of no more use either way. */
+    public static void closeQuietly(Closeable connection) {
+        try {
+            if (connection != null) {
+                connection.close();
+            }
+        } catch (IOException e) {
+            Logger.debug(e, "closing");
+        }
+    }
+
     private static String clip(String text) {
         return text.length() <= 40 ? text : text.substring(0, 40) + "...";
     }
--- a/src/main/java/wharftrestle/net/PoolLink.java
+++ b/src/main/java/wharftrestle/net/PoolLink.java
@@ -131,7 +131,7 @@
         synchronized (unproven) {
             if (!next.equals(address)) {
                 address = next;
-                closeQuietly(socket);
+                Bytes.closeQuietly(socket);
             }
         }
     }
@@ -370,14 +370,4 @@
             return true;
         }
     }
-
-    private static void closeQuietly(Socket socket) {
-        try {
-            if (socket != null) {
-                socket.close();
-            }
-        } catch (IOException e) {
-            Logger.debug(e, "closing");
-        }
-    }
 }
--- a/src/main/java/wharftrestle/net/Server.java
+++ b/src/main/java/wharftrestle/net/Server.java
@@ -273,7 +273,7 @@
                 // Guards against the listener ending for good, or spinning, while descriptors or memory are short.
                 if (!closing) {
                     tell("accepting failed: " + e);
-                    closeQuietly(socket);
+                    Bytes.closeQuietly(socket);
                     LockSupport.parkNanos(20_000_000);
                 }
             }
@@ -334,16 +334,6 @@
         }
     }
 
-    private static void closeQuietly(Socket socket) {
-        try {
-            if (socket != null) {
-                socket.close();
-            }
-        } catch (IOException e) {
-            Logger.debug(e, "closing");
-        }
-    }
-
     /** Takes no new connections; the open ones go on. */
     public void stopListening() {
         closing = true;
--- a/src/main/java/wharftrestle/net/StoreClient.java
+++ b/src/main/java/wharftrestle/net/StoreClient.java
@@ -121,7 +121,7 @@
         @Override
         public synchronized void abandon() {
             abandoned = true;
-            closeQuietly(socket);
+            Bytes.closeQuietly(socket);
         }
 
         void run() {
@@ -159,7 +159,7 @@
             } catch (IOException e) {
                 // Nothing was sent. Refused at once or not reached in time, the call never ran.
                 forgetIdle();
-                closeQuietly(socket);
+                Bytes.closeQuietly(socket);
                 return new Reply(Outcome.UNREACHABLE, null, false);
             }
             Reply reply;
@@ -180,7 +180,7 @@
                 reply = new Reply(Outcome.BROKEN, null, false);
             }
             if (!reply.keep() || !done() || !retain(link)) {
-                closeQuietly(link.socket);
+                Bytes.closeQuietly(link.socket);
             }
             return reply;
         }
@@ -222,7 +222,7 @@
             if (age < FRESH_NANOS && link.to.equals(address) && link.usable(age)) {
                 return link;
             }
-            closeQuietly(link.socket);
+            Bytes.closeQuietly(link.socket);
         }
     }
 
@@ -235,7 +235,7 @@
             }
             idle.push(link);
             while (idle.size() > MOST_IDLE || link.usedAt - idle.peekLast().usedAt > FRESH_NANOS) {
-                closeQuietly(idle.pollLast().socket);
+                Bytes.closeQuietly(idle.pollLast().socket);
             }
         }
         return true;
@@ -243,7 +243,7 @@
 
     private void forgetIdle() {
         synchronized (idle) {
-            idle.forEach(link -> closeQuietly(link.socket));
+            idle.forEach(link -> Bytes.closeQuietly(link.socket));
             idle.clear();
         }
     }
@@ -312,14 +312,4 @@
             default -> throw new Server.MalformedException("store status " + status);
         };
     }
-
-    private static void closeQuietly(Socket socket) {
-        try {
-            if (socket != null) {
-                socket.close();
-            }
-        } catch (IOException e) {
-            Logger.debug(e, "closing");
-        }
-    }
 }
