Give operators an HTTP door with true figures and a reversible lame duck

Figures by class existed nowhere: Core counted at the write of an answer, and Resp counted requests that were never taken as failed. Ruled out: daemon.forwards by class; the total is what is asked. Changed: Door and Console in place of Control, Counters with a cell a class and outcome, counted in Core.answer and beside the guard; the lame duck in Core.healthy; connections reuse threads (Server). MIB: a table by class. Tests: half calls and errors, each end counted once, lame duck on, twice, off, and SIGTERM while on.

--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -13,8 +13,8 @@
 import wharftrestle.net.Reporter;
 import wharftrestle.net.Server;
 import wharftrestle.net.StoreClient;
-import wharftrestle.ops.Control;
 import wharftrestle.ops.Counters;
+import wharftrestle.ops.Door;
 import wharftrestle.ops.SnmpAgent;
 
 /**
@@ -22,7 +22,7 @@
  * has come. It must never go back a state, take part in a request, or leave before all that was read has its
  * answer while there is time.
  */
-public final class Lifecycle implements Control.Daemon, AutoCloseable {
+public final class Lifecycle implements Door.Daemon, AutoCloseable {
 
     /** From start to exit, in this order. */
     public enum State { STARTING, SERVING, LEAVING, CLOSING, STOPPED }
@@ -41,8 +41,8 @@
     private static final int LEAST = 64;
     /** Part of that which uwsgi gateways have, where they are let in. */
     private static final double UWSGI_PART = 0.25;
-    /** Consoles at once. */
-    private static final int MOST_CONSOLES = 4;
+    /** Operators' calls at once, with those that never come whole. */
+    private static final int MOST_CALLS = 16;
     /** Seconds before the process is stopped by which all answers are out, even on crowded cores. */
     private static final double SPARE = 0.5;
     /** Seconds before the stop at which peers that have not closed are no longer waited for. */
@@ -59,12 +59,12 @@
     }
 
     private final Config config;
-    private final Counters counters = new Counters();
+    private final Counters counters;
     private final Core core;
     private final PoolLink pool;
     private final Server resp;
     private final Server uwsgi;
-    private final Server control;
+    private final Server door;
     private final SnmpAgent snmp;
     private final StoreClient store;
     private final Reporter reporter;
@@ -80,6 +80,7 @@
         int threads = (int) ((config.memoryMb() - BASE_MB) / THREAD_MB);
         int requests = Math.max(LEAST, Math.min(MOST_IN_HAND, threads / 2));
         int callers = Math.max(LEAST, Math.min((int) (CALLERS_SHARE * config.sockets()), threads - requests));
+        counters = new Counters(config.settings().classes().stream().map(Admission.RequestClass::name).toList());
         core = new Core(config.settings(), config.seed(), requests, GroupEdfScheduler::new, counters);
         pool = new PoolLink(config.pool(), core, counters);
         store = new StoreClient(config.db(), counters);
@@ -89,12 +90,15 @@
         uwsgi = appliance.uwsgi() == null ? null
                 : new Server("uwsgi", appliance.uwsgi(), gateways,
                         new Uwsgi(core, counters, config.seed(), appliance.heldKb()), counters);
-        control = appliance.control() == null ? null
-                : new Server("control", appliance.control(), MOST_CONSOLES, new Control(this), counters);
+        InetSocketAddress at = config.console() != null ? config.console() : appliance.control();
+        door = at == null ? null : new Server("door", at, MOST_CALLS, new Door(this), counters);
         snmp = appliance.snmp() == null ? null : new SnmpAgent(this, appliance.snmp(), appliance.community());
     }
 
     public void start() {
+        if (door != null) {
+            door.start();
+        }
         core.open(pool, store, reporter);
         pool.start();
         reporter.start();
@@ -102,9 +106,6 @@
         if (uwsgi != null) {
             uwsgi.start();
         }
-        if (control != null) {
-            control.start();
-        }
         enter(State.SERVING);
     }
 
@@ -136,9 +137,9 @@
         return uwsgi == null ? 0 : uwsgi.connections().size();
     }
 
-    /** Where consoles attach; null where they cannot. */
-    public InetSocketAddress controlAddress() {
-        return control == null ? null : control.address();
+    /** Where operators call; null where they cannot. */
+    public InetSocketAddress doorAddress() {
+        return door == null ? null : door.address();
     }
 
     /** Where the SNMP agent answers; null where it is off. */
@@ -162,8 +163,18 @@
     }
 
     @Override
-    public int[] inHand() {
-        return core.inHand();
+    public boolean ready() {
+        return state == State.SERVING && core.ready();
+    }
+
+    @Override
+    public boolean lameDuck(boolean on) {
+        if (!on && state.ordinal() > State.SERVING.ordinal()) {
+            return false;   // it leaves for good
+        }
+        core.lameDuck(on);
+        Logger.info("{}: lame duck {}", config.name(), on ? "on" : "off");
+        return true;
     }
 
     @Override
@@ -247,8 +258,8 @@
         if (uwsgi != null) {
             uwsgi.close();
         }
-        if (control != null) {
-            control.close();
+        if (door != null) {
+            door.close();
         }
         if (snmp != null) {
             snmp.close();
--- a/src/main/java/wharftrestle/Main.java
+++ b/src/main/java/wharftrestle/Main.java
@@ -61,7 +61,7 @@
     /** The daemon. */
     @Command(name = "serve", description = "serve the platform's front ends, in the foreground")
     static final class Serve implements Callable<Integer> {
-        @Option(names = "--appliance", description = "file with the addresses of uwsgi, control and SNMP",
+        @Option(names = "--appliance", description = "file with the addresses of uwsgi, console and SNMP",
                 defaultValue = "deploy/appliance.properties")
         private Path appliance;
 
@@ -95,27 +95,31 @@
     }
 
     /** The operator's terminal. */
-    @Command(name = "console", description = "attach to a running daemon: status, counters, drain, help")
+    @Command(name = "console",
+            description = "call a running daemon: ready, vars, lameduck on, lameduck off, status, counters, drain")
     static final class Attach implements Callable<Integer> {
-        @Option(names = "--at", description = "the daemon's control address; default: as the appliance's file says")
+        @Option(names = "--at",
+                description = "the daemon's console address; default: $EDGE_CONSOLE, else as the appliance's file says")
         private String at;
 
-        @Option(names = "--appliance", description = "file with the control address",
+        @Option(names = "--appliance", description = "file with the console address",
                 defaultValue = "deploy/appliance.properties")
         private Path appliance;
 
-        @CommandLine.Parameters(arity = "0..1", paramLabel = "COMMAND",
+        @CommandLine.Parameters(arity = "0..2", paramLabel = "COMMAND",
                 description = "one command to send; without it the console asks for commands")
-        private String command;
+        private String[] command;
 
         @Override
         public Integer call() throws Exception {
-            InetSocketAddress address = at != null ? Config.address("--at", at)
+            String told = at != null ? at : System.getenv().getOrDefault("EDGE_CONSOLE", "");
+            InetSocketAddress address = !told.isBlank() ? Config.address("console", told)
                     : Config.appliance(appliance).control();
             if (address == null) {
                 throw new Config.BadConfigException("control.listen is off, and no --at says where to attach");
             }
-            return new Console(System.in, System.out, System.err).attach(address, command);
+            return new Console(System.in, System.out, System.err)
+                    .attach(address, command == null ? null : String.join(" ", command));
         }
     }
 
--- a/src/main/java/wharftrestle/core/Core.java
+++ b/src/main/java/wharftrestle/core/Core.java
@@ -19,6 +19,7 @@
 import wharftrestle.Admission.Outcome;
 import wharftrestle.ops.Counters;
 import wharftrestle.ops.Counters.Count;
+import wharftrestle.ops.Counters.Result;
 
 /**
  * Owns the requests in hand, the keys with their results, and the one lock that guards the decision module.
@@ -203,6 +204,8 @@
     private double stopAt = Double.POSITIVE_INFINITY;
     private double keysSwept;
     private volatile boolean healthy = true;
+    private volatile boolean lameDuck;
+    private volatile boolean up;
     private volatile double idleLimit;
 
     /** Each request in hand has a thread, so there are at most so many. */
@@ -236,18 +239,32 @@
 
     /** True once the worker pool is up, and with it the module. */
     public boolean ready() {
+        return up;
+    }
+
+    /** What checks and reports are told: the module's health, with the lame duck over it. */
+    public boolean healthy() {
+        return healthy && !lameDuck;
+    }
+
+    public boolean lameDuck() {
+        return lameDuck;
+    }
+
+    /**
+     * Sends callers away, or takes them again. The module is not told: whatever still arrives is served as
+     * usual, and nothing of this is a stop.
+     */
+    public void lameDuck(boolean on) {
         lock.lock();
         try {
-            return module != null;
+            lameDuck = on;
+            watcher.health(healthy());
         } finally {
             lock.unlock();
         }
     }
 
-    public boolean healthy() {
-        return healthy;
-    }
-
     /** Seconds an idle connection may stay; 0 for as long as its peer likes. */
     public double idleLimit() {
         return idleLimit;
@@ -260,7 +277,7 @@
      * or null where it was answered already.
      */
     public Object accept(Arrival arrival, Caller caller) {
-        counters.add(Count.REQUESTS);
+        counters.taken();
         Task task;
         lock.lock();
         try {
@@ -288,6 +305,9 @@
             boolean owed;
             lock.lock();
             try {
+                if (!task.answered) {
+                    counters.answered(task.arrival.classIndex(), Result.ABORTED);
+                }
                 owed = !task.answered || task.steps.removeIf(step -> step.kind() == Kind.ANSWER);
                 task.answered = true;
                 forget(task);
@@ -295,7 +315,6 @@
                 lock.unlock();
             }
             if (owed) {
-                counters.add(Count.FAILED);
                 task.caller.answer(Answer.failed());
             }
         }
@@ -319,14 +338,7 @@
                 case PASS -> pool.pass(arrival.ref(), (long) step.until());
                 case SUSPEND -> pool.suspend(arrival.ref());
                 case ABANDON -> abandonCall(task);
-                case ANSWER -> {
-                    counters.add(switch (step.answer().kind()) {
-                        case SERVED -> Count.SERVED;
-                        case REFUSED -> Count.REFUSED;
-                        case FAILED, LATE, CONFLICT -> Count.FAILED;
-                    });
-                    task.caller.answer(step.answer());
-                }
+                case ANSWER -> task.caller.answer(step.answer());
             }
         }
     }
@@ -424,7 +436,7 @@
             lock.unlock();
         }
         counters.add(Count.GUARDED);
-        counters.add(ran ? Count.FAILED : Count.REFUSED);
+        counters.answered(task.arrival.classIndex(), ran ? Result.ABORTED : Result.DECLINED);
         task.caller.answer(ran ? Answer.failed() : Answer.refused(settings.maxRetryAfter(), false));
     }
 
@@ -436,7 +448,7 @@
             if (task == null || task.answered) {
                 return;
             }
-            counters.add(Count.GONE);
+            counters.gone();
             markAnswered(task);
             if (task.entry != null) {
                 task.entry.riders.remove(task);
@@ -452,6 +464,12 @@
 
     private void answer(Task task, Answer answer) {
         if (!task.answered) {
+            // Each request is counted here and once, whatever front, replay or guard its answer comes by.
+            counters.answered(task.arrival.classIndex(), switch (answer.kind()) {
+                case SERVED -> Result.SUCCEEDED;
+                case REFUSED -> Result.DECLINED;
+                case FAILED, LATE, CONFLICT -> Result.ABORTED;
+            });
             markAnswered(task);
             step(task, new Step(Kind.ANSWER, null, 0, answer));
         }
@@ -546,6 +564,7 @@
                         s.overShareWorth(), s.marksRetry(), s.tick(), s.gauges());
                 module = factory.create(now() - ago, seed, told, this);
                 settle(now());
+                up = true;
             }
         } finally {
             lock.unlock();
@@ -727,6 +746,7 @@
                 all.remove();
             }
         }
+        counters.kept(keys.size());
     }
 
     // ---- What the module asks for: each becomes a step of the request concerned ----
@@ -841,7 +861,7 @@
     @Override
     public void health(boolean good, boolean fromStore) {
         healthy = good;
-        watcher.health(good);
+        watcher.health(healthy());
     }
 
     @Override
@@ -898,14 +918,4 @@
             lock.unlock();
         }
     }
-
-    /** Requests in hand and keys kept, for the operator. */
-    public int[] inHand() {
-        lock.lock();
-        try {
-            return new int[] {byId.size(), keys.size()};
-        } finally {
-            lock.unlock();
-        }
-    }
 }
--- a/src/main/java/wharftrestle/front/Resp.java
+++ b/src/main/java/wharftrestle/front/Resp.java
@@ -104,7 +104,6 @@
                     // Well framed, but nothing that can run: its error says so and the connection goes on.
                     // Guards against senders of nothing else, who would ask again as fast as they are answered.
                     counters.add(Count.INVALID);
-                    counters.add(Count.FAILED);
                     connection.send(array(text(words[1]), "error", "", new byte[0]));
                     if (++invalid >= MOST_INVALID && connection.merit() != Server.Merit.SERVED) {
                         throw new MalformedException("nothing but requests that are not valid");
--- a/src/main/java/wharftrestle/net/Config.java
+++ b/src/main/java/wharftrestle/net/Config.java
@@ -16,11 +16,11 @@
 
 /**
  * Owns what the program is told at its start: the platform's configuration, and the appliance's file with the
- * addresses of uwsgi, control and SNMP. It must never fill in what is missing or wrong: that is one plain
+ * addresses of uwsgi, console and SNMP. It must never fill in what is missing or wrong: that is one plain
  * line in a {@link BadConfigException}.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress pool, InetSocketAddress db,
-                     InetSocketAddress naming, long seed, double stopSeconds, int sockets,
+                     InetSocketAddress naming, InetSocketAddress console, long seed, double stopSeconds, int sockets,
                      double memoryMb,
                      Admission.Settings settings) {
 
@@ -52,9 +52,12 @@
         }
         String name = environment.getOrDefault("EDGE_NAME", root.path("name").asText());
         String listen = environment.getOrDefault("EDGE_LISTEN", root.path("listen").asText());
+        String door = environment.getOrDefault("EDGE_CONSOLE", "").isBlank() ? root.path("console").asText()
+                : environment.get("EDGE_CONSOLE");
         try {
             return new Config(name, address("listen", listen), address("pool", root.path("pool").asText()),
                     address("db", root.path("db").asText()), address("naming", root.path("naming").asText()),
+                    door.isBlank() ? null : address("console", door.trim()),
                     Long.parseUnsignedLong(root.path("seed").asText("0"), 16),
                     root.path("stop_ms").asDouble(3000) / 1000, root.path("limits").path("sockets").asInt(1024),
                     root.path("limits").path("memory_mb").asDouble(192),
--- a/src/main/java/wharftrestle/net/Server.java
+++ b/src/main/java/wharftrestle/net/Server.java
@@ -11,6 +11,9 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
@@ -210,6 +213,8 @@
     }
 
     private static final int MOST_TRIES = 8;
+    /** Threads that wait for connections at any time. */
+    private static final int READY = 2;
 
     private final String name;
     private final ServerSocket listener;
@@ -218,6 +223,8 @@
     private final Counters counters;
     private final Set<Connection> open = ConcurrentHashMap.newKeySet();
     private final AtomicLong toldAt = new AtomicLong(System.nanoTime() - 2_000_000_000L);
+    /** A thread each while it lasts; kept some seconds for the next, as a new one costs more than an answer. */
+    private final ThreadPoolExecutor threads;
     private volatile boolean closing;
 
     /** Listens at once, so that an address that cannot be had is known at the start. */
@@ -227,12 +234,15 @@
         this.front = front;
         this.most = most;
         this.counters = counters;
+        threads = new ThreadPoolExecutor(READY, Integer.MAX_VALUE, 5, TimeUnit.SECONDS, new SynchronousQueue<>(),
+                task -> Core.thread(name, task));
         listener = new ServerSocket();
         listener.setReuseAddress(true);
         listener.bind(address, 256);
     }
 
     public void start() {
+        threads.prestartAllCoreThreads();
         Core.thread(name + "-accept", this::accept).start();
     }
 
@@ -264,7 +274,7 @@
                     front.dismiss(connection);
                 }
                 try {
-                    Core.thread(name, () -> serve(connection)).start();
+                    threads.execute(() -> serve(connection));
                 } catch (Error noThread) {
                     open.remove(connection);
                     throw noThread;
@@ -348,5 +358,6 @@
     public void close() {
         stopListening();
         open.forEach(Connection::close);
+        threads.shutdown();
     }
 }
--- a/src/main/java/wharftrestle/ops/Counters.java
+++ b/src/main/java/wharftrestle/ops/Counters.java
@@ -1,10 +1,13 @@
 package wharftrestle.ops;
 
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
 
 /**
  * Owns the counts of what the program takes in, sends and answers. Any thread adds to them without waiting;
- * the console, the SNMP agent and the exit print them. It must never decide anything by them.
+ * the door, the console, the SNMP agent and the exit show them. It must never decide anything by them.
  */
 public final class Counters {
 
@@ -47,11 +50,41 @@
         }
     }
 
+    /** How the one answer of a request came out, as the figures name it. */
+    public enum Result {
+        SUCCEEDED(Count.SERVED), DECLINED(Count.REFUSED), ABORTED(Count.FAILED);
+
+        private final Count total;
+
+        Result(Count total) {
+            this.total = total;
+        }
+
+        /** Its name on the door and in the MIB. */
+        public String word() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+    }
+
+    private final List<String> classes;
     private final LongAdder[] adders = new LongAdder[Count.values().length];
+    private final LongAdder[][] results;
+    private final AtomicInteger outstanding = new AtomicInteger();
+    private volatile int kept;
 
-    public Counters() {
-        for (int i = 0; i < adders.length; i++) {
-            adders[i] = new LongAdder();
+    /** Each class has its cells from the start, zeros too. */
+    public Counters(List<String> classes) {
+        this.classes = List.copyOf(classes);
+        results = new LongAdder[classes.size()][Result.values().length];
+        for (LongAdder[] cells : results) {
+            fill(cells);
+        }
+        fill(adders);
+    }
+
+    private static void fill(LongAdder[] cells) {
+        for (int i = 0; i < cells.length; i++) {
+            cells[i] = new LongAdder();
         }
     }
 
@@ -63,6 +96,60 @@
         return adders[count.ordinal()].sum();
     }
 
+    /** A request was taken; its one answer, or its caller's end, is told by one of the two below. */
+    public void taken() {
+        add(Count.REQUESTS);
+        outstanding.incrementAndGet();
+    }
+
+    /** The one answer of a request is fixed. */
+    public void answered(int classIndex, Result result) {
+        outstanding.decrementAndGet();
+        results[classIndex][result.ordinal()].increment();
+        add(result.total);
+    }
+
+    /** Its caller is gone before that. */
+    public void gone() {
+        outstanding.decrementAndGet();
+        add(Count.GONE);
+    }
+
+    /** Requests taken and not yet answered or given up. */
+    public int outstanding() {
+        return outstanding.get();
+    }
+
+    /** Keys kept, as of the last look at them. */
+    public int kept() {
+        return kept;
+    }
+
+    public void kept(int keys) {
+        kept = keys;
+    }
+
+    public List<String> classes() {
+        return classes;
+    }
+
+    public long get(int classIndex, Result result) {
+        return results[classIndex][result.ordinal()].sum();
+    }
+
+    /** The figures as the operators' door names them: one a line, counts since the start and gauges. */
+    public String figures() {
+        StringBuilder lines = new StringBuilder();
+        for (int i = 0; i < results.length; i++) {
+            for (Result result : Result.values()) {
+                lines.append("daemon.results.").append(classes.get(i)).append('.').append(result.word())
+                        .append(':').append(get(i, result)).append("|c\n");
+            }
+        }
+        return lines.append("daemon.forwards:").append(get(Count.RUNS)).append("|c\n")
+                .append("daemon.outstanding:").append(outstanding()).append("|g\n").toString();
+    }
+
     /** One line a count. */
     public String table() {
         StringBuilder lines = new StringBuilder();
--- /dev/null
+++ b/src/main/java/wharftrestle/ops/Door.java
@@ -0,0 +1,191 @@
+package wharftrestle.ops;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Supplier;
+import wharftrestle.net.Bytes;
+import wharftrestle.net.Server;
+import wharftrestle.net.Server.MalformedException;
+
+/**
+ * The operators' door: HTTP/1.1, one call a connection. It shows what the daemon counts and passes on what
+ * operators ask for. It must never touch a request, wait for the core's lock to show a figure, or let a call
+ * that never comes whole hold up one that does.
+ */
+public final class Door implements Server.Front {
+
+    /** What the operator's tools may see and ask of the daemon. */
+    public interface Daemon {
+        String name();
+
+        /** The named state of the program. */
+        String phase();
+
+        /** Its place among the states, from 1. */
+        int phaseNumber();
+
+        /** True while this process takes clients. */
+        boolean ready();
+
+        boolean linked();
+
+        boolean healthy();
+
+        double upSeconds();
+
+        Counters counters();
+
+        /** Sends callers away, or takes them again; false where the daemon leaves for good. */
+        boolean lameDuck(boolean on);
+
+        /** Gives the notice to leave. */
+        void leave();
+    }
+
+    /** Milliseconds in which a call is whole: an answer is due within a second, that to half a call too. */
+    private static final int CALL_MS = 700;
+    /** Milliseconds in which a caller may close after its answer; then it is closed here. */
+    private static final int CLOSE_MS = 200;
+    private static final int LONGEST_LINE = 1024;
+    private static final int LONGEST_HEAD = 4096;
+    private static final int LONGEST_BODY = 1024;
+
+    /** An answer: the status line's end, further header lines, and the text. */
+    private record Answer(String status, String fields, String text) {
+        static Answer ok(String text) {
+            return new Answer("200 OK", "", text);
+        }
+
+        static Answer error(String status) {
+            return new Answer(status, "", status.substring(4).toLowerCase(Locale.ROOT) + "\n");
+        }
+    }
+
+    /** What is done at one path, and by which method. */
+    private record Call(String method, Supplier<Answer> act) { }
+
+    private final Daemon daemon;
+    private final Map<String, Call> calls;
+
+    public Door(Daemon daemon) {
+        this.daemon = daemon;
+        calls = Map.of(
+                "/_ready", new Call("GET", () -> daemon.ready() ? Answer.ok("yes\n")
+                        : new Answer("503 Service Unavailable", "", "no: " + daemon.phase() + "\n")),
+                "/_vars", new Call("GET", () -> Answer.ok(daemon.counters().figures())),
+                "/_status", new Call("GET", () -> Answer.ok(status())),
+                "/_counters", new Call("GET", () -> Answer.ok(daemon.counters().table())),
+                "/_lameduck/on", new Call("POST", () -> lameDuck(true)),
+                "/_lameduck/off", new Call("POST", () -> lameDuck(false)),
+                "/_drain", new Call("POST", () -> {
+                    daemon.leave();
+                    return new Answer("202 Accepted", "", "leaving: what is in hand is answered, then the program ends\n");
+                }));
+    }
+
+    @Override
+    public void serve(Server.Connection connection) throws IOException {
+        connection.readUntil(connection.openedAt() + CALL_MS * 1_000_000L);
+        Answer answer;
+        boolean head = false;
+        try {
+            InputStream in = connection.in();
+            String[] request = Bytes.line(in, LONGEST_LINE).split(" ", -1);
+            Answer wrong = rest(request, in);
+            connection.heard(Server.Merit.HEARD);
+            head = request[0].equals("HEAD");
+            answer = wrong != null ? wrong : answer(head ? "GET" : request[0], request[1]);
+        } catch (SocketTimeoutException half) {
+            // Guards against callers that say nothing, or half a call, and stay.
+            answer = Answer.error("408 Request Timeout");
+        } catch (MalformedException e) {
+            answer = Answer.error("400 Bad Request");
+        } catch (EOFException end) {
+            return;
+        }
+        byte[] text = answer.text().getBytes(StandardCharsets.UTF_8);
+        String top = "HTTP/1.1 " + answer.status() + "\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: "
+                + text.length + "\r\n" + answer.fields() + "Cache-Control: no-store\r\nConnection: close\r\n\r\n";
+        connection.send(Bytes.join(Bytes.ascii(top), head ? new byte[0] : text));
+        connection.finish();
+        awaitClose(connection);
+    }
+
+    /** The head's other lines and the body, which no call here needs; what is wrong with them, or null. */
+    private static Answer rest(String[] request, InputStream in) throws IOException {
+        if (request.length != 3 || !request[1].startsWith("/")) {
+            throw new MalformedException("no request line");
+        }
+        if (!request[2].matches("HTTP/1\\.[01]")) {
+            return request[2].matches("HTTP/[0-9](\\.[0-9])?") ? Answer.error("505 HTTP Version Not Supported")
+                    : Answer.error("400 Bad Request");
+        }
+        int room = LONGEST_HEAD;
+        long length = 0;
+        for (String line = Bytes.line(in, LONGEST_LINE); !line.isEmpty(); line = Bytes.line(in, LONGEST_LINE)) {
+            room -= line.length() + 2;
+            int colon = line.indexOf(':');
+            if (colon < 1) {
+                throw new MalformedException("no header");
+            }
+            if (room < 0) {
+                return Answer.error("431 Request Header Fields Too Large");
+            }
+            String name = line.substring(0, colon).toLowerCase(Locale.ROOT);
+            if (name.equals("transfer-encoding")) {
+                return Answer.error("411 Length Required");
+            }
+            if (name.equals("content-length")) {
+                length = Bytes.number(line.substring(colon + 1).trim(), Long.MAX_VALUE);
+            }
+        }
+        if (length > LONGEST_BODY) {
+            return Answer.error("413 Content Too Large");
+        }
+        Bytes.exactly(in, (int) length);
+        return null;
+    }
+
+    private Answer answer(String method, String target) {
+        int query = target.indexOf('?');
+        Call call = calls.get(query < 0 ? target : target.substring(0, query));
+        if (call == null) {
+            return Answer.error("404 Not Found");
+        }
+        if (!call.method().equals(method)) {
+            return new Answer("405 Method Not Allowed", "Allow: " + (call.method().equals("GET") ? "GET, HEAD" : "POST")
+                    + "\r\n", "method not allowed\n");
+        }
+        return call.act().get();
+    }
+
+    private Answer lameDuck(boolean on) {
+        return daemon.lameDuck(on) ? Answer.ok("lame duck " + (on ? "on" : "off") + "\n")
+                : new Answer("409 Conflict", "", "the daemon is " + daemon.phase() + "\n");
+    }
+
+    /** Guards against a reset that overtakes the answer: what a caller still sends is read before the close. */
+    private static void awaitClose(Server.Connection connection) throws IOException {
+        connection.readUntil(System.nanoTime() + CLOSE_MS * 1_000_000L);
+        try {
+            for (int read = 0; read < LONGEST_HEAD && connection.in().read() >= 0; read++) {
+                continue;
+            }
+        } catch (SocketTimeoutException e) {
+            return;
+        }
+    }
+
+    private String status() {
+        Counters counters = daemon.counters();
+        return String.format(Locale.ROOT, "name          %s%nstate         %s%nup            %.0f s%n"
+                + "worker pool   %s%nhealth        %s%nin hand       %d requests%nkept          %d keys%n",
+                daemon.name(), daemon.phase(), daemon.upSeconds(), daemon.linked() ? "linked" : "not linked",
+                daemon.healthy() ? "good" : "bad", counters.outstanding(), counters.kept());
+    }
+}
--- a/src/main/java/wharftrestle/ops/SnmpAgent.java
+++ b/src/main/java/wharftrestle/ops/SnmpAgent.java
@@ -41,12 +41,12 @@
     private static final OID SYSTEM = new OID("1.3.6.1.2.1.1");
     private static final int MOST_BINDINGS = 100;
 
-    private final Control.Daemon daemon;
+    private final Door.Daemon daemon;
     private final OctetString community;
     private final DefaultUdpTransportMapping transport;
     private final Snmp snmp;
 
-    public SnmpAgent(Control.Daemon daemon, InetSocketAddress listen, String community) throws IOException {
+    public SnmpAgent(Door.Daemon daemon, InetSocketAddress listen, String community) throws IOException {
         this.daemon = daemon;
         this.community = new OctetString(community);
         transport = new DefaultUdpTransportMapping(new UdpAddress(listen.getAddress(), listen.getPort()));
@@ -66,7 +66,7 @@
     private NavigableMap<OID, Variable> objects() {
         NavigableMap<OID, Variable> objects = new TreeMap<>();
         TimeTicks up = new TimeTicks((long) (daemon.upSeconds() * 100));
-        int[] inHand = daemon.inHand();
+        Counters counters = daemon.counters();
         put(objects, SYSTEM, 1, text("wharftrestle: admission and overload control"));
         put(objects, SYSTEM, 2, ROOT);
         put(objects, SYSTEM, 3, up);
@@ -77,10 +77,17 @@
         put(objects, state, 3, up);
         put(objects, state, 4, truth(daemon.linked()));
         put(objects, state, 5, truth(daemon.healthy()));
-        put(objects, state, 6, new Gauge32(inHand[0]));
-        put(objects, state, 7, new Gauge32(inHand[1]));
+        put(objects, state, 6, new Gauge32(Math.max(0, counters.outstanding())));
+        put(objects, state, 7, new Gauge32(counters.kept()));
         for (Count count : Count.values()) {
-            put(objects, below(ROOT, 1, 2), count.ordinal() + 1, new Counter64(daemon.counters().get(count)));
+            put(objects, below(ROOT, 1, 2), count.ordinal() + 1, new Counter64(counters.get(count)));
+        }
+        OID row = below(ROOT, 1, 3, 1);
+        for (int i = 0; i < counters.classes().size(); i++) {
+            objects.put(below(row, 2, i + 1), text(counters.classes().get(i)));
+            for (Counters.Result result : Counters.Result.values()) {
+                objects.put(below(row, 3 + result.ordinal(), i + 1), new Counter64(counters.get(i, result)));
+            }
         }
         return objects;
     }
--- a/src/test/java/wharftrestle/ApplianceTest.java
+++ b/src/test/java/wharftrestle/ApplianceTest.java
@@ -8,6 +8,7 @@
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -64,7 +65,7 @@
     void theConsoleShowsAndDrains() throws Exception {
         try (Loopback site = site()) {
             serveOne(site);
-            InetSocketAddress control = site.life.controlAddress();
+            InetSocketAddress control = site.life.doorAddress();
             String shown = console(control, "help\nstatus\nnonsense\nquit\n", null);
             assertTrue(shown.startsWith("0\n"), shown);
             for (String part : new String[] {"drain", "state         serving", "worker pool   linked",
@@ -72,14 +73,126 @@
                 assertTrue(shown.contains(part), part + " in " + shown);
             }
             assertTrue(console(control, "", "counters").matches("(?s).* 1  answered: served\\R.*"));
+            assertEquals("0\nyes\n", console(control, "", "ready"));
+            assertTrue(console(control, "", "vars").contains("daemon.results.read.succeeded:1|c\n"));
+            assertEquals("0\nlame duck on\n", console(control, "", "lameduck on"));
             assertTrue(console(control, "", "drain").contains("leaving"));
             site.life.serveUntilStopped();   // would wait for ever without the notice
             assertEquals(Lifecycle.State.STOPPED, site.life.state());
+            assertEquals("1\nno: stopped\n", console(control, "", "ready"));
+            assertEquals("1\nthe daemon is stopped\n", console(control, "", "lameduck off"));
         }
         try (ServerSocket gone = new ServerSocket(0)) {
             InetSocketAddress nobody = new InetSocketAddress("127.0.0.1", gone.getLocalPort());
             gone.close();
-            assertTrue(console(nobody, "", "status").startsWith("1\nwharftrestle: control at "));
+            assertTrue(console(nobody, "", "status").startsWith("1\nwharftrestle: console at "));
+        }
+    }
+
+    @Test
+    void halfCallsHoldUpNoTrueOneAndErrorsAreAsHttpHasThem() throws Exception {
+        try (Loopback site = site()) {
+            List<Socket> half = new ArrayList<>();
+            for (int i = 0; i < 40; i++) {
+                Socket socket = new Socket();
+                half.add(socket);
+                socket.connect(site.life.doorAddress());
+                socket.setSoTimeout(2000);
+                socket.getOutputStream().write("GET /_rea".getBytes("UTF-8"), 0, i % 2 * 9);   // nothing, or half
+            }
+            long began = System.nanoTime();
+            assertTrue(site.get("/_ready").startsWith("HTTP/1.1 200 OK\r\n"));
+            assertTrue(System.nanoTime() - began < 600_000_000L, "before the half ones end");
+            assertTrue(Loopback.response(half.get(39)).startsWith("HTTP/1.1 408 "));
+            assertTrue(System.nanoTime() - began < 1_500_000_000L, "and these are not kept");
+            for (Socket each : half) {
+                each.close();
+            }
+            Map<String, String> wrong = Map.of("GET /none HTTP/1.1\r\n\r\n", "404", "GET /_lameduck/on HTTP/1.1\r\n\r\n",
+                    "405", "POST /_ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n", "405", "nonsense\r\n\r\n", "400",
+                    "GET /_ready HTTP/3.0\r\n\r\n", "505", "POST /_lameduck/on HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+                    "400", "POST /_lameduck/on HTTP/1.1\r\nContent-Length: 9999\r\n\r\n", "413",
+                    "GET /" + "x".repeat(2000), "400", "GET /_ready HTTP/1.1\r\nX: y\nZ\r\n\r\n", "400");
+            for (Map.Entry<String, String> call : wrong.entrySet()) {
+                assertTrue(site.call(call.getKey()).startsWith("HTTP/1.1 " + call.getValue() + " "), call.getKey());
+            }
+            assertTrue(site.life.healthy(), "none of these was carried out");
+        }
+    }
+
+    /** The figures at the door, by name. */
+    private static Map<String, Integer> figures(Loopback site) throws Exception {
+        Map<String, Integer> figures = new TreeMap<>();
+        site.get("/_vars").lines().filter(line -> line.startsWith("daemon.")).forEach(line -> figures.put(
+                line.replaceAll("^daemon\\.|:.*", ""), Integer.valueOf(line.replaceAll(".*:|\\|[cg]$", ""))));
+        return figures;
+    }
+
+    @Test
+    void eachRequestIsCountedOnceWhateverItsEnd() throws Exception {
+        try (Loopback site = site(); Caller caller = site.new Caller(); Caller other = site.new Caller()) {
+            Map<String, Integer> seen = figures(site);
+            assertEquals(17, seen.size(), "all classes from the start: " + seen);
+            assertTrue(seen.values().stream().allMatch(count -> count == 0), seen.toString());
+            caller.ask(1, "keyed", "k", "x");
+            String run = site.command().ref();
+            other.ask(2, "keyed", "k", "x");   // rides on the first
+            other.send("STATUS", "3", "");
+            other.reply();
+            assertEquals(2, figures(site).get("outstanding"));
+            site.finish(run, "good", 1, "fine");
+            caller.reply();
+            other.reply();
+            caller.ask(4, "keyed", "k", "y");   // another body: failed
+            caller.reply();
+            caller.ask(5, "read", null, "x");
+            site.finish(site.command().ref(), "bad", 1, "");
+            caller.reply();
+            caller.ask(6, "read", null, "x");
+            site.command();
+            caller.send("NEVERMIND", "6");   // given up: no answer, no figure, not outstanding
+            assertEquals("suspend", site.command().verb());
+            seen = figures(site);
+            assertEquals(List.of(2, 0, 1, 0, 1, 3, 0), List.of(seen.get("results.keyed.succeeded"),
+                    seen.get("results.keyed.declined"), seen.get("results.keyed.aborted"),
+                    seen.get("results.read.succeeded"), seen.get("results.read.aborted"), seen.get("forwards"),
+                    seen.get("outstanding")), seen.toString());
+        }
+    }
+
+    @Test
+    void aLameDuckLooksBadServesOnAndComesBack() throws Exception {
+        try (Loopback site = new Loopback(Sites.site(), new Config.Appliance(Loopback.any(), null, null, "x", 24));
+                Caller caller = site.new Caller(); Caller check = site.new Caller()) {
+            for (int i = 1; i <= 2; i++) {   // twice is harmless
+                assertTrue(site.post("/_lameduck/on").startsWith("HTTP/1.1 200 "));
+                check.send("STATUS", Integer.toString(i), "");
+                assertEquals("sick", check.reply().word());
+            }
+            assertTrue(Loopback.response(site.post("/health", "", "")).startsWith("HTTP/1.1 503 "));
+            for (String report = site.report(); !report.equals("renew n1 no"); report = site.report()) {
+                assertEquals("renew n1 yes", report);
+            }
+            caller.ask(1, "read", null, "x");   // whatever arrives is served as usual
+            site.finish(site.command().ref(), "good", 1, "fine");
+            assertEquals("fine", caller.reply().body());
+            assertTrue(site.post("/_lameduck/off").startsWith("HTTP/1.1 200 "));
+            check.send("STATUS", "3", "");
+            assertEquals("healthy", check.reply().word());
+            for (String report = site.report(); !report.equals("renew n1 yes"); report = site.report()) {
+                assertEquals("renew n1 no", report);
+            }
+            site.post("/_lameduck/on");   // the notice to leave while it is on: no more and no less than without
+            caller.ask(2, "read", null, "x");
+            String run = site.command().ref();
+            site.life.leave();
+            site.cores.schedule(() -> {
+                site.finish(run, "good", 1, "in time");
+                return null;
+            }, 100, java.util.concurrent.TimeUnit.MILLISECONDS);
+            site.life.serveUntilStopped();
+            assertEquals("in time", caller.reply().body());
+            assertEquals(Lifecycle.State.STOPPED, site.life.state());
         }
     }
 
@@ -125,7 +238,11 @@
         while (all.find()) {
             OID place = new OID(places.get(all.group(4)).toString() + "." + all.group(5));
             places.put(all.group(1), place);
-            if (all.group(3) != null) {
+            if (place.startsWith(new OID("1.3.6.1.3.29421.1.3.1"))) {
+                for (int row = 1; all.group(3) != null && place.last() > 1 && row <= 5; row++) {
+                    objects.put(new OID(place + "." + row), all.group(3));   // a class of the site each
+                }
+            } else if (all.group(3) != null && !all.group(3).matches("SEQUENCE|Wt\\w+")) {
                 objects.put(new OID(place + ".0"), all.group(3));
             }
         }
@@ -166,6 +283,8 @@
             assertEquals("n1", walked.get(new OID(root + ".1.1.1.0")).toString());
             assertEquals(2, walked.get(new OID(root + ".1.1.2.0")).toInt(), "serving");
             assertEquals(1, walked.get(new OID(root + ".1.2.2.0")).toLong(), "one request served");
+            assertEquals("read", walked.get(new OID(root + ".1.3.1.2.1")).toString());
+            assertEquals(1, walked.get(new OID(root + ".1.3.1.3.1")).toLong(), "one of its class");
             assertEquals(PDU.notWritable, ask(manager, agent, "desk", PDU.SET, new OID(root + ".1.1.1.0"))
                     .getErrorStatus());
             assertEquals(null, ask(manager, agent, "guess", PDU.GET, new OID(root + ".1.1.1.0")));
--- a/src/test/java/wharftrestle/Loopback.java
+++ b/src/test/java/wharftrestle/Loopback.java
@@ -81,7 +81,7 @@
 
     private Config config(Sites.Builder site) {
         return new Config("n1", new InetSocketAddress(HOST, 0), at(pool), at(store),
-                new InetSocketAddress(HOST, naming.getLocalPort()), 7, 3.2, sockets, 192, site.build());
+                new InetSocketAddress(HOST, naming.getLocalPort()), any(), 7, 3.2, sockets, 192, site.build());
     }
 
     private void servePeers() {
@@ -274,6 +274,24 @@
         return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
+    /** One call at the operators' door, as it is written; the whole answer. */
+    String call(String text) throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.connect(life.doorAddress());
+            socket.setSoTimeout((int) WAIT_S * 1000);
+            write(socket, text);
+            return response(socket);
+        }
+    }
+
+    String get(String path) throws IOException {
+        return call("GET " + path + " HTTP/1.1\r\nHost: n1\r\n\r\n");
+    }
+
+    String post(String path) throws IOException {
+        return call("POST " + path + " HTTP/1.1\r\nHost: n1\r\nContent-Length: 0\r\n\r\n");
+    }
+
     /** The next report at the name service. */
     String report() throws IOException {
         DatagramPacket packet = new DatagramPacket(new byte[100], 100);
