Let a second process take over the keys and the listeners while the first ends what it has

Cause: Lifecycle knew one process a box; Server bound without SO_REUSEPORT and cut its backlog at the close; keys lived in one heap only. Ruled out: starting late as a cause (the pool link is bound 0.1 s after the JVM is up); double runs (rules kept). Changed: net.Upgrade (the socket), Core (who owns a key), Lifecycle (state ceded), Server (accepts until empty), Reporter.pause, Admission.Events.shares (half of memory and calls each). Conclusion: holds.

--- a/src/main/java/wharftrestle/Admission.java
+++ b/src/main/java/wharftrestle/Admission.java
@@ -141,6 +141,9 @@
         /** This instance is leaving service and is stopped after timeLeft. */
         void leaving(double now, double timeLeft);
 
+        /** From now on this instance has so much of the machine's memory and share of calls; 1 for all. */
+        default void shares(double now, double part) { }
+
         /** The timer is due. Gauges stand in the order of {@link Settings#gauges}; empty where there are none. */
         void timer(double now, long label, double[] gauges);
 
--- a/src/main/java/wharftrestle/GroupEdfScheduler.java
+++ b/src/main/java/wharftrestle/GroupEdfScheduler.java
@@ -222,6 +222,7 @@
     private double backShare = 0.5;   // of arrivals whose caller was here a moment before
     private double idle;           // seconds an idle connection stays; 0 for the longest
     private double idleAt;         // next look at that
+    private double mine = 1;   // part of memory and of the store's share, while two processes serve
     private double backlog;   // seconds of work in hand, as of the last look at the hold
 
     public GroupEdfScheduler(double now, long seed, Admission.Settings settings, Admission.Actions actions) {
@@ -344,6 +345,13 @@
         }
     }
 
+    @Override
+    public void shares(double now, double part) {
+        countCalls(now);
+        mine = part;
+        callBudget = Math.min(callBudget, callBurst());
+    }
+
     @Override
     public void timer(double now, long label, double[] gauges) {
         if (now >= timerAt) {
@@ -451,7 +459,7 @@
                 continue;
             }
             double more = op.request.memory() * (settings.runFactor() - 1);
-            if (heldMemory + runMemory + keyMemory() + more > RUN_MEMORY * settings.memory()) {
+            if (heldMemory + runMemory + keyMemory() + more > RUN_MEMORY * mine * settings.memory()) {
                 continue;
             }
             // Those that stand at calls are outside the limit, so they have a bound of their own: what waits
@@ -713,7 +721,7 @@
     // ---- Calls: in hand and lingering under this instance's share of what the dependency bears ----
 
     private double callBurst() {
-        return CALL_BURST * settings.callShare() * settings.callsOver();
+        return CALL_BURST * mine * settings.callShare() * settings.callsOver();
     }
 
     /** Call-seconds: filled at the calls allowed, spent by those in hand; so a span's mean stays bounded. */
@@ -762,7 +770,7 @@
     /** Led by latency as the running limit is: more calls than slots only slow a dependency that is slow. */
     private double callsAllowed() {
         double part = CALLS_QUICK * Math.min(1, CALL_TOLERANCE * callBase / callMean);
-        return Math.max(CALLS_SLOW, part) * settings.callShare();
+        return Math.max(CALLS_SLOW, part) * mine * settings.callShare();
     }
 
     /** Seconds until so many calls are over: by those in hand and, for a share below one, by the budget. */
@@ -858,7 +866,7 @@
         }
         // A read's entry lasts while it may be open and its answer fresh; a key's for its window.
         double until = keyed ? op.arrived + op.type.window() + KEY_SPARE : op.aimBy + settings.shareFor();
-        double room = RUN_MEMORY * settings.memory() - runMemory - keyMemory() - settings.keyMemory();
+        double room = RUN_MEMORY * mine * settings.memory() - runMemory - keyMemory() - settings.keyMemory();
         if (until <= now || room < 0) {
             if (keyed && until > now) {
                 refuse(now, op);
--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -1,31 +1,45 @@
 package wharftrestle;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.locks.LockSupport;
 import org.tinylog.Logger;
 import wharftrestle.core.Core;
 import wharftrestle.front.Resp;
 import wharftrestle.front.Uwsgi;
+import wharftrestle.net.Bytes;
 import wharftrestle.net.Config;
 import wharftrestle.net.PoolLink;
 import wharftrestle.net.Reporter;
 import wharftrestle.net.Server;
 import wharftrestle.net.StoreClient;
+import wharftrestle.net.Upgrade;
 import wharftrestle.ops.Counters;
 import wharftrestle.ops.Door;
 import wharftrestle.ops.SnmpAgent;
 
 /**
  * Owns the daemon from its start to its exit: it puts the parts together, and its named states say how far it
- * has come. It must never go back a state, take part in a request, or leave before all that was read has its
- * answer while there is time.
+ * has come. In an upgrade it takes over from the process that serves, or cedes to the one that comes. It must never
+ * go back a state but from ceded to serving, where the new process dies early; never take part in a request, or
+ * leave before all that was read has its answer while there is time.
  */
-public final class Lifecycle implements Door.Daemon, AutoCloseable {
+public final class Lifecycle implements Door.Daemon, Upgrade.Side, AutoCloseable {
 
-    /** From start to exit, in this order. */
-    public enum State { STARTING, SERVING, LEAVING, CLOSING, STOPPED }
+    /** From start to exit, in this order; another process serves this box's clients from CEDED on. */
+    public enum State {
+        STARTING(1), SERVING(2), CEDED(6), LEAVING(3), CLOSING(4), STOPPED(5);
+
+        private final int number;
+
+        State(int number) {
+            this.number = number;
+        }
+    }
 
     /**
      * Part of the descriptors that all callers may hold: front ends open at most half, and whoever else
@@ -53,6 +67,13 @@
     /** Milliseconds between two looks at whether the peers have closed. */
     private static final int CLOSE_LOOK_MS = 10;
 
+    /** Seconds after the notice in which a process that has ceded must be gone: its longest deadline, or this. */
+    private static final double CEDED_MOST = 3;
+    /** Seconds beyond that. */
+    private static final double CEDED_MORE = 0.7;
+    /** Milliseconds between two tries for an address that the ceding process still has. */
+    private static final int AGAIN_MS = 200;
+
     /** Reads the configuration anew. */
     public interface Source {
         Config read() throws Config.BadConfigException;
@@ -65,48 +86,225 @@
     private final Server resp;
     private final Server uwsgi;
     private final Server door;
-    private final SnmpAgent snmp;
+    private final Config.Appliance appliance;
+    private volatile SnmpAgent snmp;
     private final StoreClient store;
     private final Reporter reporter;
     private final CountDownLatch notice = new CountDownLatch(1);
     private volatile State state = State.STARTING;
     private volatile long noticedAt;
+    private volatile double stopSeconds;
+    private final int mostCallers;
+    private final int mostRequests;
+    private final int mostGateways;
+    private final Upgrade elder;               // the process to take over from, or null
+    private Upgrade other;                     // the one link of a take-over under way
+    private boolean taking;                    // this side takes over
+    private ServerSocketChannel successors;
+    private volatile boolean closed;
     private final long startedAt = System.nanoTime();
 
-    /** Takes every address at once, so that one that cannot be had ends the start. */
+    /**
+     * Takes every address at once, so that one that cannot be had ends the start; but where a process of this
+     * box serves already, its clients' addresses come with the take-over, and others when that one has ended.
+     */
     public Lifecycle(Config config, Config.Appliance appliance) throws IOException {
         this.config = config;
+        this.appliance = appliance;
+        stopSeconds = config.stopSeconds();
         // Guards against being killed for memory: threads for requests come first, connections have the rest.
         int threads = (int) ((config.memoryMb() - BASE_MB) / THREAD_MB);
-        int requests = Math.max(LEAST, Math.min(MOST_IN_HAND, threads / 2));
-        int callers = Math.max(LEAST, Math.min((int) (CALLERS_SHARE * config.sockets()), threads - requests));
+        mostRequests = Math.max(LEAST, Math.min(MOST_IN_HAND, threads / 2));
+        mostCallers = Math.max(LEAST, Math.min((int) (CALLERS_SHARE * config.sockets()), threads - mostRequests));
+        mostGateways = appliance.uwsgi() == null ? 0 : (int) (UWSGI_PART * mostCallers);
         counters = new Counters(config.settings().classes().stream().map(Admission.RequestClass::name).toList());
-        core = new Core(config.settings(), config.seed(), requests, GroupEdfScheduler::new, counters);
+        core = new Core(config.settings(), config.seed(), mostRequests, GroupEdfScheduler::new, counters);
         pool = new PoolLink(config.pool(), core, counters);
         store = new StoreClient(config.db(), counters);
         reporter = new Reporter(config.name(), config.naming(), counters);
-        int gateways = appliance.uwsgi() == null ? 0 : (int) (UWSGI_PART * callers);
-        resp = new Server("resp", config.listen(), callers - gateways, new Resp(core, counters), counters);
-        uwsgi = appliance.uwsgi() == null ? null
-                : new Server("uwsgi", appliance.uwsgi(), gateways,
-                        new Uwsgi(core, counters, config.seed(), appliance.heldKb()), counters);
+        resp = new Server("resp", config.listen(), mostCallers - mostGateways, new Resp(core, counters), counters);
+        uwsgi = appliance.uwsgi() == null ? null : new Server("uwsgi", appliance.uwsgi(), mostGateways,
+                new Uwsgi(core, counters, config.seed(), appliance.heldKb()), counters);
         InetSocketAddress at = config.console() != null ? config.console() : appliance.control();
         door = at == null ? null : new Server("door", at, MOST_CALLS, new Door(this), counters);
-        snmp = appliance.snmp() == null ? null : new SnmpAgent(this, appliance.snmp(), appliance.community());
+        elder = config.meeting() == null ? null : Upgrade.meet(config.meeting(), core, this);
+        if (elder == null) {
+            resp.listen(config.meeting() != null, true);
+            if (uwsgi != null) {
+                uwsgi.listen(config.meeting() != null, true);
+            }
+        }
+        if (!operatorsIn() && elder == null) {
+            close();
+            throw new BindException("the operators' addresses are taken");
+        }
     }
 
-    public void start() {
-        if (door != null) {
-            door.start();
+    /** Lets operators in; false where an address of theirs cannot be had now. */
+    private synchronized boolean operatorsIn() {
+        try {
+            if (door != null && !door.listening()) {
+                door.listen(false, true);
+                door.start();
+            }
+            if (appliance.snmp() != null && snmp == null) {
+                snmp = new SnmpAgent(this, appliance.snmp(), appliance.community());
+            }
+            return true;
+        } catch (IOException | RuntimeException taken) {
+            Logger.debug("operators: {}", taken.getMessage());
+            return false;
         }
+    }
+
+    public void start() {
         core.open(pool, store, reporter);
+        if (elder != null) {
+            halve(true);
+        }
         pool.start();
+        reporter.pause(elder != null);
         reporter.start();
-        resp.start();
+        if (elder == null) {
+            resp.start();
+            if (uwsgi != null) {
+                uwsgi.start();
+            }
+            enter(State.SERVING);
+            awaitSuccessor();
+        } else {
+            Core.thread("take-over", this::takeOver).start();
+        }
+    }
+
+    /** Guards against the two processes of an upgrade having more threads and connections than one may. */
+    private void halve(boolean half) {
+        int part = half ? 2 : 1;
+        core.limit(mostRequests / part);
+        resp.limit((mostCallers - mostGateways) / part);
         if (uwsgi != null) {
-            uwsgi.start();
+            uwsgi.limit(mostGateways / part);
+        }
+    }
+
+    // ---- The upgrade: what this process does as the new one, then as the one that cedes ----
+
+    private void takeOver() {
+        try {
+            core.awaitReady();
+        } catch (InterruptedException e) {
+            return;
+        }
+        synchronized (this) {
+            if (notice.getCount() > 0) {
+                other = elder;
+                taking = true;
+                elder.takeOver(config.name());
+            }
+        }
+    }
+
+    @Override
+    public synchronized void handed(Upgrade link) {
+        if (link == other && state == State.STARTING) {
+            serveAlone(false);
+            link.sayListens();
+        }
+    }
+
+    /** Listens and reports from now on. */
+    private void serveAlone(boolean alone) {
+        for (Server front : uwsgi == null ? new Server[] {resp} : new Server[] {resp, uwsgi}) {
+            try {
+                front.listen(config.meeting() != null, alone);
+                front.start();
+            } catch (IOException e) {
+                // Guards against one address that is taken ending the process that others rely on.
+                Logger.error("cannot listen at {}: {}", front.address(), e.getMessage());
+            }
+        }
+        reporter.pause(false);
+    }
+
+    @Override
+    public synchronized void ceded(Upgrade link) {
+        if (link == other && state == State.STARTING) {
+            enter(State.SERVING);
+            awaitSuccessor();
+        }
+    }
+
+    @Override
+    public synchronized void asked(Upgrade link) {
+        if (other == null) {
+            other = link;
+            halve(true);
+            link.sayHanded(core.handOver(link));
+        }
+    }
+
+    @Override
+    public synchronized void listens(Upgrade link) {
+        if (link != other) {
+            return;
+        }
+        reporter.pause(true);
+        core.ceded(true);
+        stopFronts();
+        if (state == State.SERVING) {
+            enter(State.CEDED);
+        }
+        link.sayCeded();
+    }
+
+    /** The other process has ended: as was wanted, or before it could take over for good. */
+    @Override
+    public synchronized void lost(Upgrade link) {
+        if (link != other || closed) {
+            return;
+        }
+        other = null;
+        core.otherGone();
+        halve(false);
+        if (taking) {
+            taking = false;
+            if (state == State.STARTING) {
+                // It died within the take-over: its keys are as lost as at any kill.
+                if (!resp.listening()) {
+                    serveAlone(true);
+                }
+                enter(State.SERVING);
+                awaitSuccessor();
+            }
+            Core.thread("operators", this::awaitOperators).start();
+        } else if (state == State.CEDED) {
+            Logger.warn("{}: the new process has died, this one serves on", config.name());
+            core.ceded(false);
+            enter(State.SERVING);
+            serveAlone(true);
+            awaitSuccessor();
+        }
+    }
+
+    private void awaitOperators() {
+        while (!operatorsIn() && !closed) {
+            LockSupport.parkNanos(AGAIN_MS * 1_000_000L);
+        }
+    }
+
+    private void awaitSuccessor() {
+        if (config.meeting() != null) {
+            Bytes.closeQuietly(successors);
+            successors = Upgrade.await(config.meeting(), core, this);
+        }
+    }
+
+    private void stopFronts() {
+        resp.stopListening();
+        resp.connections().forEach(Resp::sayClosing);
+        if (uwsgi != null) {
+            uwsgi.stopListening();
         }
-        enter(State.SERVING);
     }
 
     public State state() {
@@ -144,7 +342,8 @@
 
     /** Where the SNMP agent answers; null where it is off. */
     public InetSocketAddress snmpAddress() {
-        return snmp == null ? null : snmp.address();
+        SnmpAgent agent = snmp;
+        return agent == null ? null : agent.address();
     }
 
     @Override
@@ -169,7 +368,7 @@
 
     @Override
     public boolean lameDuck(boolean on) {
-        if (!on && state.ordinal() > State.SERVING.ordinal()) {
+        if (!on && state.ordinal() > State.CEDED.ordinal()) {
             return false;   // it leaves for good
         }
         core.lameDuck(on);
@@ -189,7 +388,7 @@
 
     @Override
     public int phaseNumber() {
-        return state.ordinal() + 1;
+        return state.number;
     }
 
     /**
@@ -225,21 +424,28 @@
     /** Waits for the notice, answers all that was read, and returns when the process may end. */
     public void serveUntilStopped() throws InterruptedException {
         notice.await();
-        enter(State.LEAVING);
-        core.leave(Math.max(0, left() - SPARE));
-        double grace = Math.min(config.settings().drainGrace() - GroupEdfScheduler.DRAIN_SPARE,
-                config.stopSeconds() - 2 * SPARE) + CROSSING;
-        double open = grace - (config.stopSeconds() - left());
-        if (open > 0) {
-            Thread.sleep((long) (open * 1000));
+        boolean alone;
+        synchronized (this) {
+            alone = state != State.CEDED;
+            enter(State.LEAVING);
+        }
+        if (alone) {
+            core.leave(Math.max(0, left() - SPARE));
+            double grace = Math.min(config.settings().drainGrace() - GroupEdfScheduler.DRAIN_SPARE,
+                    config.stopSeconds() - 2 * SPARE) + CROSSING;
+            double open = grace - (config.stopSeconds() - left());
+            if (open > 0) {
+                Thread.sleep((long) (open * 1000));
+            }
+        } else {
+            // No notice to the box: another process serves it. What is in hand ends here, in the time there is.
+            stopSeconds = CEDED_MORE + Math.min(CEDED_MOST, config.settings().classes().stream()
+                    .mapToDouble(Admission.RequestClass::deadline).max().orElse(CEDED_MOST));
+            core.leave(Math.max(0, left() - SPARE));
         }
         enter(State.CLOSING);
         // From here on nothing that comes may run: callers are better served by a refused connection.
-        resp.stopListening();
-        resp.connections().forEach(Resp::sayClosing);
-        if (uwsgi != null) {
-            uwsgi.stopListening();
-        }
+        stopFronts();
         do {
             core.awaitDrained(Math.max(0, left() - LAST));
             Thread.sleep(CLOSE_LOOK_MS);
@@ -253,7 +459,8 @@
 
     /** Gives all addresses back; what is open is cut. */
     @Override
-    public void close() {
+    public synchronized void close() {
+        closed = true;
         resp.close();
         if (uwsgi != null) {
             uwsgi.close();
@@ -264,10 +471,14 @@
         if (snmp != null) {
             snmp.close();
         }
+        Bytes.closeQuietly(successors);
+        if (other != null) {
+            other.close();
+        }
     }
 
     private double left() {
-        return config.stopSeconds() - (System.nanoTime() - noticedAt) / 1e9;
+        return stopSeconds - (System.nanoTime() - noticedAt) / 1e9;
     }
 
     private void enter(State next) {
--- a/src/main/java/wharftrestle/core/Core.java
+++ b/src/main/java/wharftrestle/core/Core.java
@@ -4,10 +4,13 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -100,6 +103,28 @@
         void ended(Outcome outcome, byte[] reply);
     }
 
+    /** What one process tells the other of a key while two serve one box; the body tells what it was asked. */
+    public record Kept(String key, boolean finished, long lastDoor, double secondsLeft, byte[] body, byte[] result) { }
+
+    /** The other process of this box during an upgrade. Only {@link #tellSurely} may wait. */
+    public interface Other {
+        /** Asks whether this key may be held and run here. */
+        void claim(String key, long door, byte[] body);
+
+        void granted(String key);
+
+        void tell(Kept kept);
+
+        /** Returns once the word is on its way, whatever then becomes of this process, or the other is gone. */
+        void tellSurely(Kept kept);
+
+        /** A key of this side has ended; the result is null unless it ended well. */
+        void ended(String key, byte[] result);
+
+        /** A key of this side never ran and is not held any more. */
+        void freed(String key);
+    }
+
     /** Makes the module once the worker pool is up. */
     public interface Factory {
         Admission.Events create(double now, long seed, Admission.Settings settings, Admission.Actions actions);
@@ -122,6 +147,11 @@
     /** Seconds the timer waits for the gauges it asked for. */
     private static final double GAUGE_WAIT = 0.015;
 
+    /** What the module is told that a try repeats where the other process has its key: no request of this one. */
+    private static final long ELSEWHERE = -1;
+    /** Part of the machine's memory and of the store's share that each of two processes has. */
+    private static final double HALF = 0.5;
+
     private enum Kind { SPAWN, SUPPLY, PASS, SUSPEND, CALL, ABANDON, ANSWER }
 
     private record Step(Kind kind, byte[] bytes, double until, Answer answer) {
@@ -151,6 +181,7 @@
         int callNumber;
         double callSince;
         KeyEntry entry;
+        boolean granted;       // its key, by the process that owns all keys
 
         Task(long id, Arrival arrival, Caller caller, Condition signal) {
             this.id = id;
@@ -161,6 +192,10 @@
             this.signal = signal;
         }
 
+        boolean sameKey(Task that) {
+            return key.equals(that.key);
+        }
+
         boolean over() {
             return answered && (!spawned || runOver);
         }
@@ -168,13 +203,25 @@
 
     /** What is known of one key: the try that holds it or ran, its result, and who waits for that. */
     private static final class KeyEntry {
-        Task holder;
+        final String key;
+        final byte[] body;
+        Task holder;           // null where the other process has it in hand, or had
         boolean ran;
         boolean finished;
         byte[] result;
         double until = Double.POSITIVE_INFINITY;   // of the entry, on this clock
         long lastDoor;                             // no try stamped up to here may run
         final List<Task> riders = new ArrayList<>();
+
+        KeyEntry(String key, byte[] body, Task holder) {
+            this.key = key;
+            this.body = body;
+            this.holder = holder;
+        }
+
+        boolean covers(long door) {
+            return !ran || door <= lastDoor;
+        }
     }
 
     private record Wake(double at, long label) { }
@@ -205,7 +252,11 @@
     private double keysSwept;
     private volatile boolean healthy = true;
     private volatile boolean lameDuck;
-    private volatile boolean up;
+    private volatile boolean ceded;
+    private final CountDownLatch up = new CountDownLatch(1);
+    private final Set<Task> asking = new HashSet<>();
+    private Other other;
+    private boolean owner = true;   // of all keys of this box, also while two processes serve it
     private volatile double idleLimit;
 
     /** Each request in hand has a thread, so there are at most so many. */
@@ -239,12 +290,26 @@
 
     /** True once the worker pool is up, and with it the module. */
     public boolean ready() {
-        return up;
+        return up.getCount() == 0;
+    }
+
+    public void awaitReady() throws InterruptedException {
+        up.await();
     }
 
     /** What checks and reports are told: the module's health, with the lame duck over it. */
     public boolean healthy() {
-        return healthy && !lameDuck;
+        return (healthy || ceded) && !lameDuck;
+    }
+
+    /** Another process takes the clients of this box: the end of this one is no illness, and no check says so. */
+    public void ceded(boolean now) {
+        ceded = now;
+    }
+
+    /** So many requests in hand at most from now on. */
+    public void limit(int inHand) {
+        threads.setMaximumPoolSize(inHand);
     }
 
     public boolean lameDuck() {
@@ -323,11 +388,13 @@
     /** One request from its arrival to its last word. */
     private void live(Task task) {
         Arrival arrival = task.arrival;
+        askOther(task);
         arrive(task);
         for (Step step = next(task); step != null; step = next(task)) {
             switch (step.kind()) {
                 case SPAWN -> {
                     counters.add(Count.RUNS);
+                    tellOther(task);
                     pool.spawn(arrival.ref(), settings.classes().get(arrival.classIndex()).name(), arrival.body());
                 }
                 case CALL -> {
@@ -357,18 +424,22 @@
             }
             double now = now();
             Arrival a = task.arrival;
-            double lay = Math.max(0, (System.currentTimeMillis() - a.door()) / 1000.0);
-            task.backstop = Math.min(now - lay + settings.classes().get(a.classIndex()).deadline() + BACKSTOP,
-                    stopAt);
+            double lay = lay(a);
+            task.backstop = due(a, now);
             byId.put(task.id, task);
             byRef.put(a.ref(), task);
             sweepKeys(now);
             KeyEntry prior = task.key == null ? null : keys.get(task.key);
-            boolean repeat = prior != null && (!prior.ran || a.door() <= prior.lastDoor);
+            boolean repeat = prior != null && prior.covers(a.door());
             if (prior != null && !repeat) {
                 keys.remove(task.key);
             }
-            if (repeat && !Arrays.equals(prior.holder.arrival.body(), a.body())) {
+            if (task.key != null && !repeat && !owner && other != null && !task.granted) {
+                // Guards against a second run of a key, or its refusal after one: the process that owns it is silent.
+                answer(task, Answer.late());
+                return;
+            }
+            if (repeat && !Arrays.equals(prior.body, a.body())) {
                 // Guards against a result for what was never asked: a known key with another body is no try.
                 counters.add(Count.INVALID);
                 answer(task, Answer.conflict());
@@ -376,13 +447,22 @@
             }
             task.entry = repeat ? prior : null;
             module.arrived(now, new Admission.Request(task.id, false, lay, a.classIndex(), a.tenantIndex(),
-                    a.heldKb(), a.caller(), 0, a.subject(), repeat ? prior.holder.id : 0, 0, a.rank()));
+                    a.heldKb(), a.caller(), 0, a.subject(),
+                    !repeat ? 0 : prior.holder == null ? ELSEWHERE : prior.holder.id, 0, a.rank()));
             settle(now);
         } finally {
             lock.unlock();
         }
     }
 
+    private static double lay(Arrival a) {
+        return Math.max(0, (System.currentTimeMillis() - a.door()) / 1000.0);
+    }
+
+    private double due(Arrival a, double now) {
+        return Math.min(now - lay(a) + settings.classes().get(a.classIndex()).deadline() + BACKSTOP, stopAt);
+    }
+
     /** The request's next step; null once it is answered and nothing of it runs. */
     private Step next(Task task) {
         lock.lock();
@@ -420,6 +500,10 @@
     private void forget(Task task) {
         byId.remove(task.id);
         byRef.remove(task.arrival.ref(), task);
+        if (other != null && task.key != null && !keys.containsKey(task.key)
+                && byId.values().stream().noneMatch(task::sameKey) && asking.stream().noneMatch(task::sameKey)) {
+            other.freed(task.key);
+        }
         if (byId.isEmpty()) {
             drained.signalAll();
         }
@@ -430,7 +514,7 @@
         lock.lock();
         try {
             KeyEntry entry = task.key == null ? null : keys.get(task.key);
-            ran = entry != null && entry.ran;
+            ran = entry != null && entry.ran || task.key != null && !owner;
             task.answered = true;
         } finally {
             lock.unlock();
@@ -564,7 +648,7 @@
                         s.overShareWorth(), s.marksRetry(), s.tick(), s.gauges());
                 module = factory.create(now() - ago, seed, told, this);
                 settle(now());
-                up = true;
+                up.countDown();
             }
         } finally {
             lock.unlock();
@@ -705,6 +789,9 @@
     private void finishEntry(KeyEntry entry, byte[] result) {
         entry.finished = true;
         entry.result = result;
+        if (other != null && entry.holder != null && keys.get(entry.key) == entry) {
+            other.ended(entry.key, result);
+        }
         for (Task rider : entry.riders) {
             pending.add(() -> endAttached(rider, entry));
         }
@@ -749,6 +836,215 @@
         counters.kept(keys.size());
     }
 
+    private double window(int classIndex) {
+        return settings.classes().get(classIndex).window() + KEY_SLACK;
+    }
+
+    // ---- Two processes in one box: the one owns all keys, the other ends what it has ----
+
+    /**
+     * In one step hands all keys over, and with them the say about every further one. What is held or runs here
+     * stays here; its end is told.
+     */
+    public int handOver(Other to) {
+        lock.lock();
+        try {
+            other = to;
+            owner = false;
+            keys.values().forEach(entry -> to.tell(kept(entry)));
+            share(HALF);
+            return keys.size();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** From here on the other process of this box is known; its keys follow, and this one is to own them all. */
+    public void join(Other from) {
+        lock.lock();
+        try {
+            other = from;
+            share(HALF);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** The other process is gone: what it had in hand has an unknown end, which fails and never runs again. */
+    public void otherGone() {
+        lock.lock();
+        try {
+            other = null;
+            owner = true;
+            keys.values().stream().filter(entry -> entry.holder == null && !entry.finished)
+                    .forEach(entry -> finishEntry(entry, null));
+            asking.forEach(task -> task.signal.signal());
+            share(1);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void share(double part) {
+        if (module != null) {
+            module.shares(now(), part);
+            settle(now());
+        }
+    }
+
+    private Kept kept(KeyEntry entry) {
+        double now = now();
+        if (entry.ran) {
+            return new Kept(entry.key, entry.finished, entry.lastDoor, entry.until - now, entry.body, entry.result);
+        }
+        double window = window(entry.holder.arrival.classIndex());
+        return new Kept(entry.key, false, entry.holder.arrival.door() + Math.round(window * 1000),
+                window + KEY_LINGER, entry.body, null);
+    }
+
+    /** The other process has this key in hand, or had. */
+    public void heardOf(Kept kept) {
+        lock.lock();
+        try {
+            KeyEntry known = keys.get(kept.key());
+            if (known == null || known.finished && known.lastDoor < kept.lastDoor()) {
+                known = new KeyEntry(kept.key(), kept.body(), null);
+                known.ran = true;
+                known.lastDoor = kept.lastDoor();
+                known.until = now() + kept.secondsLeft();
+                keys.put(kept.key(), known);
+            }
+            if (kept.finished() && known.holder == null && !known.finished) {
+                finishEntry(known, kept.result());
+            }
+            wakeAsking(kept.key(), false);
+            settleIfUp();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    public void endedElsewhere(String key, byte[] result) {
+        lock.lock();
+        try {
+            KeyEntry entry = keys.get(key);
+            if (entry != null && entry.holder == null && !entry.finished) {
+                finishEntry(entry, result);
+                settleIfUp();
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    public void freedElsewhere(String key) {
+        lock.lock();
+        try {
+            KeyEntry entry = keys.get(key);
+            if (entry != null && entry.holder == null && !entry.finished) {
+                keys.remove(key);
+                finishEntry(entry, null);
+                settleIfUp();
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** The other process asks for a key: it is told what is known of it, or has it in hand from now on. */
+    public void claimed(String key, long door, byte[] body) {
+        double window = window(Integer.parseInt(key.substring(0, key.indexOf('/'))));   // its class leads a key
+        lock.lock();
+        try {
+            KeyEntry entry = keys.get(key);
+            if (other == null) {
+                return;
+            }
+            if (entry != null && entry.covers(door) && (entry.holder != null || entry.finished)) {
+                other.tell(kept(entry));
+                return;
+            }
+            if (entry == null || !entry.covers(door)) {
+                entry = new KeyEntry(key, body, null);
+                entry.ran = true;
+                entry.lastDoor = door + Math.round(window * 1000);
+                entry.until = now() + window + KEY_LINGER;
+                keys.put(key, entry);
+            }
+            other.granted(key);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    public void granted(String key) {
+        lock.lock();
+        try {
+            wakeAsking(key, true);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void wakeAsking(String key, boolean granted) {
+        for (Task task : asking) {
+            if (key.equals(task.key)) {
+                task.granted |= granted;
+                task.signal.signal();
+            }
+        }
+    }
+
+    private void settleIfUp() {
+        if (module != null) {
+            settle(now());
+        }
+    }
+
+    /** A keyed request that this process reads after it handed all keys over waits for the owner's word. */
+    private void askOther(Task task) {
+        lock.lock();
+        try {
+            Arrival a = task.arrival;
+            if (other == null || owner || task.key == null || known(task)) {
+                return;
+            }
+            asking.add(task);
+            other.claim(task.key, a.door(), a.body());
+            double due = due(a, now());
+            while (other != null && !task.granted && !task.answered && !known(task) && now() < due) {
+                task.signal.awaitNanos((long) ((due - now()) * 1e9) + 1);
+            }
+            asking.remove(task);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException("nobody interrupts a request", e);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private boolean known(Task task) {
+        KeyEntry entry = keys.get(task.key);
+        return entry != null && entry.covers(task.arrival.door());
+    }
+
+    /** Guards against a second run should this process die early: the other one knows of this one before it begins. */
+    private void tellOther(Task task) {
+        Other told;
+        Kept kept;
+        lock.lock();
+        try {
+            if (other == null || !owner || task.key == null) {
+                return;
+            }
+            told = other;
+            kept = kept(task.entry);
+        } finally {
+            lock.unlock();
+        }
+        told.tellSurely(kept);
+    }
+
     // ---- What the module asks for: each becomes a step of the request concerned ----
 
     @Override
@@ -760,7 +1056,7 @@
         Arrival a = task.arrival;
         task.since = now();
         if (task.key != null) {
-            KeyEntry entry = keys.computeIfAbsent(task.key, key -> new KeyEntry());
+            KeyEntry entry = keys.computeIfAbsent(task.key, key -> new KeyEntry(key, a.body(), task));
             if (entry.ran && a.door() <= entry.lastDoor) {
                 // Guards against a second run of one key, whatever the module holds of it.
                 Logger.warn("a second run of one key was asked for; its try joins the first");
@@ -768,7 +1064,7 @@
                 join(task);
                 return;
             }
-            double window = settings.classes().get(a.classIndex()).window() + KEY_SLACK;
+            double window = window(a.classIndex());
             entry.holder = task;
             entry.ran = true;
             entry.lastDoor = a.door() + Math.round(window * 1000);
@@ -835,8 +1131,7 @@
         if (known != null && known.ran && task.arrival.door() <= known.lastDoor) {
             return;   // the try that ran stays the one that repeats are told of
         }
-        KeyEntry entry = new KeyEntry();
-        entry.holder = task;
+        KeyEntry entry = new KeyEntry(task.key, task.arrival.body(), task);
         task.entry = entry;
         keys.put(task.key, entry);
     }
--- a/src/main/java/wharftrestle/net/Config.java
+++ b/src/main/java/wharftrestle/net/Config.java
@@ -16,13 +16,12 @@
 
 /**
  * Owns what the program is told at its start: the platform's configuration, and the appliance's file with the
- * addresses of uwsgi, console and SNMP. It must never fill in what is missing or wrong: that is one plain
+ * addresses of uwsgi, console and SNMP, and where the processes of an upgrade meet. It must never fill in what is missing or wrong: that is one plain
  * line in a {@link BadConfigException}.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress pool, InetSocketAddress db,
                      InetSocketAddress naming, InetSocketAddress console, long seed, double stopSeconds, int sockets,
-                     double memoryMb,
-                     Admission.Settings settings) {
+                     double memoryMb, Path meeting, Admission.Settings settings) {
 
     /** Something that the program was told cannot be used. */
     public static final class BadConfigException extends Exception {
@@ -60,7 +59,7 @@
                     door.isBlank() ? null : address("console", door.trim()),
                     Long.parseUnsignedLong(root.path("seed").asText("0"), 16),
                     root.path("stop_ms").asDouble(3000) / 1000, root.path("limits").path("sockets").asInt(1024),
-                    root.path("limits").path("memory_mb").asDouble(192),
+                    root.path("limits").path("memory_mb").asDouble(192), meeting(environment.get("TMPDIR"), name),
                     SettingsReader.read(root.get("settings")));
         } catch (NumberFormatException e) {
             throw new BadConfigException("the configuration's 'seed' is no hexadecimal number");
@@ -69,6 +68,12 @@
         }
     }
 
+    /** Where the two processes of an upgrade meet; null, and with it no upgrade, where there is no such folder. */
+    private static Path meeting(String folder, String name) {
+        return folder == null || folder.isBlank() ? null
+                : Path.of(folder, "wharftrestle-" + name.replaceAll("[^A-Za-z0-9_.-]", "_") + ".sock");
+    }
+
     public static Appliance appliance(Path file) throws BadConfigException {
         Properties set = new Properties();
         try (Reader in = Files.newBufferedReader(file)) {
--- a/src/main/java/wharftrestle/net/Reporter.java
+++ b/src/main/java/wharftrestle/net/Reporter.java
@@ -24,6 +24,7 @@
     private final Counters counters;
     private volatile InetSocketAddress naming;
     private boolean good = true;
+    private boolean paused;
     private int urgent = REPEATS;
 
     public Reporter(String name, InetSocketAddress naming, Counters counters) {
@@ -42,6 +43,12 @@
         hurry();
     }
 
+    /** Says nothing, while another process of this box reports for both, or goes on. */
+    public synchronized void pause(boolean quiet) {
+        paused = quiet;
+        hurry();
+    }
+
     @Override
     public synchronized void health(boolean now) {
         if (now != good) {
@@ -82,6 +89,10 @@
     private synchronized boolean next() throws InterruptedException {
         long began = System.nanoTime();
         for (;;) {
+            if (paused) {
+                wait();
+                continue;
+            }
             long pause = urgent > REPEATS ? 0 : urgent > 0 ? REPEAT_MS : EVERY_MS;
             long left = pause - (System.nanoTime() - began) / 1_000_000;
             if (left <= 0) {
--- a/src/main/java/wharftrestle/net/Server.java
+++ b/src/main/java/wharftrestle/net/Server.java
@@ -7,6 +7,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.net.StandardSocketOptions;
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.Set;
@@ -215,11 +217,19 @@
     private static final int MOST_TRIES = 8;
     /** Threads that wait for connections at any time. */
     private static final int READY = 2;
+    /** Connections that may wait to be accepted. */
+    private static final int BACKLOG = 512;
+    /** Milliseconds between two looks at whether the listener is to end, and of the last one. */
+    private static final int LOOK_MS = 50;
+    /** Nanoseconds in which a listener that ends is emptied at most, however many still come. */
+    private static final long EMPTY_NANOS = 300_000_000L;
 
     private final String name;
-    private final ServerSocket listener;
+    private final InetSocketAddress address;
+    private volatile ServerSocket listener;
+    private Thread accepting;
     private final Front front;
-    private final int most;
+    private volatile int most;
     private final Counters counters;
     private final Set<Connection> open = ConcurrentHashMap.newKeySet();
     private final AtomicLong toldAt = new AtomicLong(System.nanoTime() - 2_000_000_000L);
@@ -227,28 +237,63 @@
     private final ThreadPoolExecutor threads;
     private volatile boolean closing;
 
-    /** Listens at once, so that an address that cannot be had is known at the start. */
-    public Server(String name, InetSocketAddress address, int most, Front front, Counters counters)
-            throws IOException {
+    /** Takes nothing until it is told to listen. */
+    public Server(String name, InetSocketAddress address, int most, Front front, Counters counters) {
         this.name = name;
+        this.address = address;
         this.front = front;
         this.most = most;
         this.counters = counters;
         threads = new ThreadPoolExecutor(READY, Integer.MAX_VALUE, 5, TimeUnit.SECONDS, new SynchronousQueue<>(),
                 task -> Core.thread(name, task));
-        listener = new ServerSocket();
-        listener.setReuseAddress(true);
-        listener.bind(address, 256);
+    }
+
+    /**
+     * Takes the address; what comes waits for {@link #start}. Where it is shared, another process of this box
+     * may listen at it too. Guards against sharing it with a stranger: without that other process, it is first
+     * taken for this one alone.
+     */
+    public void listen(boolean shared, boolean alone) throws IOException {
+        if (shared && alone && address.getPort() != 0) {
+            try (ServerSocket probe = new ServerSocket()) {
+                probe.setReuseAddress(true);
+                probe.bind(address, 1);
+            }
+        }
+        ServerSocket made = new ServerSocket();
+        try {
+            made.setReuseAddress(true);
+            if (shared) {
+                made.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            }
+            made.bind(address, BACKLOG);
+        } catch (IOException e) {
+            made.close();
+            throw e;
+        }
+        closing = false;
+        listener = made;
     }
 
     public void start() {
         threads.prestartAllCoreThreads();
-        Core.thread(name + "-accept", this::accept).start();
+        accepting = Core.thread(name + "-accept", this::accept);
+        accepting.start();
+    }
+
+    public boolean listening() {
+        ServerSocket now = listener;
+        return now != null && !now.isClosed();
+    }
+
+    /** So many connections at most from now on. */
+    public void limit(int connections) {
+        most = connections;
     }
 
     /** Where it listens, also where the port was chosen by the system. */
     public InetSocketAddress address() {
-        return (InetSocketAddress) listener.getLocalSocketAddress();
+        return listener == null ? address : (InetSocketAddress) listener.getLocalSocketAddress();
     }
 
     public Set<Connection> connections() {
@@ -256,38 +301,54 @@
     }
 
     private void accept() {
-        while (!closing) {
+        ServerSocket mine = listener;
+        long endBy = 0;
+        for (boolean empty = false; !empty && (endBy == 0 || System.nanoTime() < endBy);) {
             Socket socket = null;
+            // Guards against resets: what waits at a listener that ends is taken before it is closed.
+            boolean last = closing;
+            if (last && endBy == 0) {
+                endBy = System.nanoTime() + EMPTY_NANOS;
+            }
             try {
-                socket = listener.accept();
-                if (open.size() >= most && !makeRoom()) {
-                    // Guards against connections eating the descriptors and threads: nothing was read of it.
-                    socket.close();
-                    continue;
-                }
-                socket.setTcpNoDelay(true);
-                Connection connection = new Connection(socket);
-                open.add(connection);
-                counters.add(Count.CONNECTIONS);
-                if (closing) {
-                    // Guards against a peer that came with the end of the listener and never heard of it.
-                    front.dismiss(connection);
-                }
-                try {
-                    threads.execute(() -> serve(connection));
-                } catch (Error noThread) {
-                    open.remove(connection);
-                    throw noThread;
-                }
+                mine.setSoTimeout(last ? 1 : LOOK_MS);
+                socket = mine.accept();
+                take(socket);
+            } catch (SocketTimeoutException quiet) {
+                empty = last;
             } catch (IOException | RuntimeException | Error e) {
                 // Guards against the listener ending for good, or spinning, while descriptors or memory are short.
-                if (!closing) {
-                    tell("accepting failed: " + e);
-                    Bytes.closeQuietly(socket);
-                    LockSupport.parkNanos(20_000_000);
+                Bytes.closeQuietly(socket);
+                if (mine.isClosed()) {
+                    return;
                 }
+                tell("accepting failed: " + e);
+                LockSupport.parkNanos(20_000_000);
             }
         }
+        Bytes.closeQuietly(mine);
+    }
+
+    private void take(Socket socket) throws IOException {
+        if (open.size() >= most && !makeRoom()) {
+            // Guards against connections eating the descriptors and threads: nothing was read of it.
+            socket.close();
+            return;
+        }
+        socket.setTcpNoDelay(true);
+        Connection connection = new Connection(socket);
+        open.add(connection);
+        counters.add(Count.CONNECTIONS);
+        if (closing) {
+            // Guards against a peer that came with the end of the listener and never heard of it.
+            front.dismiss(connection);
+        }
+        try {
+            threads.execute(() -> serve(connection));
+        } catch (RuntimeException | Error noThread) {
+            open.remove(connection);
+            throw noThread;
+        }
     }
 
     /**
@@ -344,14 +405,17 @@
         }
     }
 
-    /** Takes no new connections; the open ones go on. */
+    /** Takes what has connected and then no new connections; the open ones go on. */
     public void stopListening() {
         closing = true;
         try {
-            listener.close();
-        } catch (IOException e) {
-            Logger.debug(e, "closing");
+            if (accepting != null) {
+                accepting.join(LOOK_MS + 2 * EMPTY_NANOS / 1_000_000);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
+        Bytes.closeQuietly(listener);
     }
 
     @Override
--- a/src/test/java/wharftrestle/GroupEdfSchedulerTest.java
+++ b/src/test/java/wharftrestle/GroupEdfSchedulerTest.java
@@ -702,6 +702,22 @@
         assertTrue(host.in(RUNNING).size() == 2);
     }
 
+    @Test
+    void whileTwoProcessesServeEachKeepsToItsPart() {
+        Sites.Builder site = Sites.site();
+        site.memory = 250;
+        RecordingHost host = new RecordingHost(site.build());
+        host.module.shares(host.now, 0.5);
+        for (int i = 0; i < 2; i++) {
+            host.arrive(host.request(Sites.READ).memory(20).build());
+        }
+        host.settle();
+        assertEquals(1, host.in(RUNNING).size(), "a second one would take more than half");
+        host.module.shares(host.now, 1);
+        host.settle();
+        assertEquals(2, host.in(RUNNING).size());
+    }
+
     // ---- Drain ----
 
     @Test
--- a/src/test/java/wharftrestle/Loopback.java
+++ b/src/test/java/wharftrestle/Loopback.java
@@ -13,6 +13,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -58,6 +60,9 @@
 
     /** Descriptors that the daemon is told it may have. */
     private final int sockets;
+    /** Where the processes of an upgrade meet, and the one to take over from; null for none. */
+    private final Path meeting;
+    private final Loopback elder;
 
     Loopback(Sites.Builder site) throws Exception {
         this(site, 1024);
@@ -72,7 +77,15 @@
     }
 
     private Loopback(Sites.Builder site, Config.Appliance appliance, int sockets) throws Exception {
+        this(site, appliance, sockets, null, null);
+    }
+
+    /** A daemon that meets others at this file; with an elder, one at the same addresses that takes over from it. */
+    Loopback(Sites.Builder site, Config.Appliance appliance, int sockets, Path meeting, Loopback elder)
+            throws Exception {
         this.sockets = sockets;
+        this.meeting = meeting;
+        this.elder = elder;
         life = new Lifecycle(config(site), appliance);
         servePeers();
         life.start();
@@ -80,8 +93,14 @@
     }
 
     private Config config(Sites.Builder site) {
-        return new Config("n1", new InetSocketAddress(HOST, 0), at(pool), at(store),
-                new InetSocketAddress(HOST, naming.getLocalPort()), any(), 7, 3.2, sockets, 192, site.build());
+        return new Config("n1", elder == null ? any() : elder.life.respAddress(), at(pool), at(store),
+                new InetSocketAddress(HOST, naming.getLocalPort()), any(), 7, 3.2, sockets, 192, meeting, site.build());
+    }
+
+    /** The same addresses with another meeting place. */
+    Config stranger(Path elsewhere) {
+        return new Config("n1", life.respAddress(), at(pool), at(store), any(), any(), 7, 3.2, sockets, 192, elsewhere,
+                life.core().settings());
     }
 
     private void servePeers() {
@@ -288,10 +307,31 @@
         return call("GET " + path + " HTTP/1.1\r\nHost: n1\r\n\r\n");
     }
 
+    /** Waits until this process takes clients. */
+    void awaitTaking() throws IOException {
+        while (!get("/_ready").startsWith("HTTP/1.1 200 ")) {
+            Thread.onSpinWait();
+        }
+    }
+
     String post(String path) throws IOException {
         return call("POST " + path + " HTTP/1.1\r\nHost: n1\r\nContent-Length: 0\r\n\r\n");
     }
 
+    /** How many of the reports that lie unread say no. */
+    int saidNo() throws IOException {
+        int no = 0;
+        naming.setSoTimeout(1);
+        try {
+            for (DatagramPacket packet = new DatagramPacket(new byte[100], 100);; packet.setLength(100)) {
+                naming.receive(packet);
+                no += packet.getLength() == "renew n1 no".length() ? 1 : 0;
+            }
+        } catch (SocketTimeoutException none) {
+            return no;
+        }
+    }
+
     /** The next report at the name service. */
     String report() throws IOException {
         DatagramPacket packet = new DatagramPacket(new byte[100], 100);
