--- a/src/main/java/wharftrestle/net/Config.java
+++ b/src/main/java/wharftrestle/net/Config.java
@@ -15,9 +15,9 @@
 import wharftrestle.wire.SettingsReader;
 
 /**
- * Owns what the program is told at its start: the platform's configuration, and the appliance's file with the
- * addresses of uwsgi, console and SNMP, and where the processes of an upgrade meet. It must never fill in what is missing or wrong: that is one plain
- * line in a {@link BadConfigException}.
+ * Owns what the program is told at its start: the platform's configuration, where the processes of an upgrade
+ * meet, and the appliance's file with the addresses of uwsgi, console and SNMP. It must never fill in what is
+ * missing or wrong: that is one plain line in a {@link BadConfigException}.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress pool, InetSocketAddress db,
                      InetSocketAddress naming, InetSocketAddress console, long seed, double stopSeconds, int sockets,
