Leave calls out at once while they are jammed, write pool commands where they arise

Lines at fault: GroupEdfScheduler.startNext began no run that may call while calls were jammed, though next-step may leave its call out; skipped() waited for the last moment of the aim; turnAway counted calls ahead that need not be made; judgeHealth took the slowness of its own crowd for illness. Core.accept gave each request a thread, refused ones too. Ruled out: more calls in hand (the store is at what it can do when slow), garbage collection, the guard. Tests: skips and starts in a jam, a crowd of its own; both fail without.

--- a/src/main/java/wharftrestle/GroupEdfScheduler.java
+++ b/src/main/java/wharftrestle/GroupEdfScheduler.java
@@ -222,6 +222,7 @@
     private double backShare = 0.5;   // of arrivals whose caller was here a moment before
     private double idle;           // seconds an idle connection stays; 0 for the longest
     private double idleAt;         // next look at that
+    private double crowded = 1;    // runs a core when runs end: slow for that alone is no illness
     private double mine = 1;   // part of memory and of the store's share, while two processes serve
     private double backlog;   // seconds of work in hand, as of the last look at the hold
 
@@ -421,6 +422,7 @@
             double unit = op.request.cost() > 0 ? sure / op.request.cost() : sure;
             latency += LEARN * (level / s.base - latency);
             drag += RUN_LEARN * (Math.min(RUN_MOST, unit / s.base) - drag);
+            crowded += RUN_LEARN * (Math.max(1, (double) onCores / settings.cores()) - crowded);
         }
     }
 
@@ -464,8 +466,8 @@
             }
             // Those that stand at calls are outside the limit, so they have a bound of their own: what waits
             // there is begun and lost if its call comes too late, and it bars what is worth more.
-            if (op.type.calls() && (atCall.size() >= settings.cores()
-                    || bounded() && callWait(atCall.size() + callsInHand) > own(op))) {
+            // What may leave its call out is begun all the same, and leaves it out.
+            if (op.type.calls() && op.type.skipWorth() <= 0 && jammed(op)) {
                 continue;
             }
             act.start(op.request.id());
@@ -547,7 +549,8 @@
         for (int i = 0; i < order.size(); i++) {
             Op op = order.get(i);
             double wait = ahead / limit;
-            double callWait = bounded() && op.stats.calls > 0 ? callWait(callsAhead) : 0;
+            boolean needsCalls = bounded() && op.stats.calls > 0 && op.type.skipWorth() <= 0;
+            double callWait = needsCalls ? callWait(callsAhead) : 0;
             boolean callsBind = callWait > wait;
             wait = Math.max(callWait, wait);
             // Guards against refusing large requests on idle cores: their estimate is scaled by a mean of
@@ -756,7 +759,7 @@
 
     /** Goes on without the call where part of the worth is kept: the whole of it is lost otherwise. */
     private boolean skipped(double now, double again, Op op) {
-        if (op.answered || op.type.skipWorth() <= 0 || again < skipAt(op) || now > op.aimBy) {
+        if (op.answered || op.type.skipWorth() <= 0 || again < skipAt(op) && !jammed(op) || now > op.aimBy) {
             return false;
         }
         atCall.remove(op);
@@ -780,6 +783,12 @@
                 (calls * callMean - callBudget) / callsAllowed());
     }
 
+    /** So many stand at calls, or for so long, that no further run which needs its call is begun. */
+    private boolean jammed(Op op) {
+        return atCall.size() >= settings.cores()
+                || bounded() && callWait(atCall.size() + callsInHand) > own(op);
+    }
+
     private void makeCalls(double now) {
         if (atCall.isEmpty()) {
             return;
@@ -977,7 +986,7 @@
         }
         if (healthy && now >= illUntil + ILL_SPAN
                 && (failures > ILL_FAILURES || strain > ILL_STRAIN && (drag > SOME_DRAG
-                || now - lastEnd > Math.max(NO_END, NO_END_RUNS * meanOwn)) || drag > ILL_DRAG
+                || now - lastEnd > Math.max(NO_END, NO_END_RUNS * meanOwn)) || drag > ILL_DRAG * crowded
                 || unread > ILL_UNREAD && refusedShare > ILL_REFUSED
                 && settings.marksRetry() && furtherShare < RETRY_STORM / 2)) {
             illUntil = now + ILL_SPAN * (0.75 + random.nextDouble() / 2);
--- a/src/main/java/wharftrestle/core/Core.java
+++ b/src/main/java/wharftrestle/core/Core.java
@@ -135,6 +135,8 @@
         void health(boolean good);
     }
 
+    /** Threads beyond the requests in hand, for those that have just ended. */
+    private static final int SPARE_THREADS = 32;
     private static final int STACK = 192 * 1024;
     /** Seconds past the due time at which an answer is forced: well inside the slack of the rule. */
     private static final double BACKSTOP = 0.02;
@@ -181,6 +183,7 @@
         int callNumber;
         double callSince;
         KeyEntry entry;
+        boolean arrived;       // at the module, or before it
         boolean granted;       // its key, by the process that owns all keys
 
         Task(long id, Arrival arrival, Caller caller, Condition signal) {
@@ -240,6 +243,7 @@
     private final PriorityQueue<Wake> wakes = new PriorityQueue<>((a, b) -> Double.compare(a.at(), b.at()));
     private final ArrayDeque<Runnable> pending = new ArrayDeque<>();
     private final ThreadPoolExecutor threads;
+    private volatile int most;
     private Pool pool;
     private Store store;
     private Watcher watcher = good -> { };
@@ -265,7 +269,8 @@
         this.seed = seed;
         this.factory = factory;
         this.counters = counters;
-        threads = new ThreadPoolExecutor(8, mostInHand, 5, TimeUnit.SECONDS, new SynchronousQueue<>(),
+        most = mostInHand;
+        threads = new ThreadPoolExecutor(8, mostInHand + SPARE_THREADS, 5, TimeUnit.SECONDS, new SynchronousQueue<>(),
                 task -> thread("request", task));
     }
 
@@ -309,7 +314,7 @@
 
     /** So many requests in hand at most from now on. */
     public void limit(int inHand) {
-        threads.setMaximumPoolSize(inHand);
+        most = inHand;
     }
 
     public boolean lameDuck() {
@@ -350,17 +355,52 @@
         } finally {
             lock.unlock();
         }
+        if (!mustAsk(task)) {
+            arrive(task);   // on the thread that read it: most of what is refused needs no other
+        }
+        if (overAtOnce(task)) {
+            guarded(task);
+            return null;
+        }
         try {
             threads.execute(() -> guarded(task));
         } catch (RejectedExecutionException | OutOfMemoryError full) {
-            // Guards against threads filling the memory in a flood: what finds none is turned away unread
-            // by the module, or failed where another try of it ran.
-            turnAway(task);
+            // Guards against a request that no thread can be had for any more: it is owed its answer all the same.
+            forceAnswer(task);
+            guarded(task);
             return null;
         }
         return task;
     }
 
+    /** True where its answer is all that is left of its life. */
+    private boolean overAtOnce(Task task) {
+        lock.lock();
+        try {
+            return task.arrived && task.over();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void forceAnswer(Task task) {
+        lock.lock();
+        try {
+            counters.add(Count.GUARDED);
+            task.arrived = true;
+            answer(task, Answer.failed());
+            if (task.spawned) {
+                task.steps.removeIf(step -> step.kind() != Kind.ANSWER);   // no run was begun
+                tellRunOver(task, Outcome.VOID, 0, null);
+            } else if (byId.containsKey(task.id)) {
+                module.callerLeft(now(), task.id);
+                settle(now());
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Guards against a fault of ours in one request taking an answer with it. */
     private void guarded(Task task) {
         try {
@@ -388,8 +428,10 @@
     /** One request from its arrival to its last word. */
     private void live(Task task) {
         Arrival arrival = task.arrival;
-        askOther(task);
-        arrive(task);
+        if (!task.arrived) {
+            askOther(task);
+            arrive(task);
+        }
         for (Step step = next(task); step != null; step = next(task)) {
             switch (step.kind()) {
                 case SPAWN -> {
@@ -413,9 +455,19 @@
     private void arrive(Task task) {
         lock.lock();
         try {
+            task.arrived = true;
             if (task.answered) {
                 return;
             }
+            if (byId.size() >= most) {
+                // Guards against threads filling the memory in a flood: what finds none is turned away unread by
+                // the module, or failed where another try of it ran.
+                KeyEntry entry = task.key == null ? null : keys.get(task.key);
+                boolean ran = entry != null && entry.ran || task.key != null && !owner;
+                counters.add(Count.GUARDED);
+                answer(task, ran ? Answer.failed() : Answer.refused(settings.maxRetryAfter(), false));
+                return;
+            }
             if (module == null || byRef.containsKey(task.arrival.ref())) {
                 // Before the worker pool is up nothing can run; a reference in use would be taken for its run.
                 counters.add(Count.GUARDED);
@@ -509,21 +561,6 @@
         }
     }
 
-    private void turnAway(Task task) {
-        boolean ran;
-        lock.lock();
-        try {
-            KeyEntry entry = task.key == null ? null : keys.get(task.key);
-            ran = entry != null && entry.ran || task.key != null && !owner;
-            task.answered = true;
-        } finally {
-            lock.unlock();
-        }
-        counters.add(Count.GUARDED);
-        counters.answered(task.arrival.classIndex(), ran ? Result.ABORTED : Result.DECLINED);
-        task.caller.answer(ran ? Answer.failed() : Answer.refused(settings.maxRetryAfter(), false));
-    }
-
     /** The caller of a request waits no longer. */
     public void left(Object accepted) {
         Task task = (Task) accepted;
@@ -1006,7 +1043,7 @@
         lock.lock();
         try {
             Arrival a = task.arrival;
-            if (other == null || owner || task.key == null || known(task)) {
+            if (!mustAsk(task)) {
                 return;
             }
             asking.add(task);
@@ -1023,6 +1060,15 @@
         }
     }
 
+    private boolean mustAsk(Task task) {
+        lock.lock();
+        try {
+            return other != null && !owner && task.key != null && !known(task);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private boolean known(Task task) {
         KeyEntry entry = keys.get(task.key);
         return entry != null && entry.covers(task.arrival.door());
--- a/src/main/java/wharftrestle/net/PoolLink.java
+++ b/src/main/java/wharftrestle/net/PoolLink.java
@@ -1,10 +1,9 @@
 package wharftrestle.net;
 
 import java.io.BufferedInputStream;
-import java.io.BufferedOutputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -14,8 +13,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.locks.LockSupport;
+import java.util.concurrent.locks.ReentrantLock;
 import org.tinylog.Logger;
 import wharftrestle.Admission.Outcome;
 import wharftrestle.core.Core;
@@ -23,9 +23,10 @@
 import wharftrestle.ops.Counters.Count;
 
 /**
- * Owns the link to the worker pool: one socket, a thread that reads notices and one that writes commands.
- * It makes the link anew whenever it breaks, falls silent or moves, binding with the last notice read, and then
- * sends again what may have been lost. It must never tell a notice twice, and never make its callers wait.
+ * Owns the link to the worker pool: one socket, and a thread that reads notices. Commands are written by who has
+ * one, or by who writes already; polls, which may not wait, by a thread of their own. It makes the link anew
+ * whenever it breaks, falls silent or moves, binding with the last notice read, and then sends again what may have
+ * been lost. It must never tell a notice twice, and never make the core's lock wait for a socket.
  */
 public final class PoolLink implements Core.Pool {
     private static final int LONGEST_LINE = 16 * 1024;
@@ -56,7 +57,10 @@
     /** One socket's life. */
     private static final class Session {
         final Socket socket;
-        final LinkedBlockingQueue<byte[]> commands = new LinkedBlockingQueue<>();
+        final ConcurrentLinkedQueue<byte[]> commands = new ConcurrentLinkedQueue<>();
+        private final ReentrantLock writing = new ReentrantLock();
+        private final ByteArrayOutputStream batch = new ByteArrayOutputStream(4096);
+        private volatile Thread writer;
         volatile boolean bound;
         volatile boolean over;
         private final Map<String, Long> polls = new HashMap<>();
@@ -83,28 +87,47 @@
             return bound && System.nanoTime() - polledAt > POLL_MS * 1_000_000L;
         }
 
-        void write() {
-            try (OutputStream out = new BufferedOutputStream(socket.getOutputStream(), 8192)) {
-                while (!over) {
-                    byte[] next = commands.poll(POLL_MS, TimeUnit.MILLISECONDS);
-                    if (pollDue()) {
-                        poll();   // guards against a link that stays open and says nothing more
-                    }
-                    for (; next != null; next = commands.poll()) {
-                        out.write(next);
+        /**
+         * Writes what waits unless another thread is at it, which then writes this too. Saves the hop to a
+         * writer's thread, of which each request has several.
+         */
+        void flush() {
+            while (!commands.isEmpty() && !over && writing.tryLock()) {
+                try {
+                    batch.reset();
+                    for (byte[] next = commands.poll(); next != null; next = commands.poll()) {
+                        batch.writeBytes(next);
                     }
-                    out.flush();
+                    batch.writeTo(socket.getOutputStream());
+                } catch (IOException e) {
+                    Logger.debug("link: {}", e.getMessage());
+                    Bytes.closeQuietly(socket);   // the reader makes the link anew
+                    return;
+                } finally {
+                    writing.unlock();
                 }
-            } catch (IOException e) {
-                Logger.debug("link: {}", e.getMessage());
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
             }
         }
 
+        /** Writes the polls, and sends one where none was due for a while. */
+        void write() {
+            writer = Thread.currentThread();
+            while (!over) {
+                LockSupport.parkNanos(POLL_MS * 1_000_000L);
+                if (pollDue()) {
+                    poll();   // guards against a link that stays open and says nothing more
+                }
+                flush();
+            }
+        }
+
+        void wakeWriter() {
+            LockSupport.unpark(writer);
+        }
+
         void close() throws IOException {
             over = true;
-            commands.add(new byte[0]);
+            wakeWriter();
             socket.close();
         }
     }
@@ -158,6 +181,7 @@
                 }
                 try {
                     Core.thread("pool-write", mine::write).start();
+                    mine.flush();
                     read(mine, new BufferedInputStream(made.getInputStream(), 8192));
                 } finally {
                     synchronized (unproven) {
@@ -197,6 +221,7 @@
                     core.bound(words[1].equals("new"), Bytes.duration(words[2]));
                     if (boundBefore) {
                         mine.commands.add(line("poll " + barrier));
+                        mine.flush();
                     }
                     boundBefore = true;
                 }
@@ -225,6 +250,7 @@
                         core.gauges(gauges(words));
                     } else if (words[1].equals(barrier)) {
                         sendAgain(mine);
+                        mine.flush();
                     }
                 }
                 case "unknown" -> {
@@ -331,13 +357,18 @@
     }
 
     private void send(String ref, byte[] command) {
+        Session mine;
         synchronized (unproven) {
+            mine = session;
             unproven.computeIfAbsent(ref, key -> new ArrayList<>(2))
-                    .add(new Sent(command, System.nanoTime(), session));
-            if (session != null) {
-                session.commands.add(command);
+                    .add(new Sent(command, System.nanoTime(), mine));
+            if (mine != null) {
+                mine.commands.add(command);
             }
         }
+        if (mine != null) {
+            mine.flush();
+        }
     }
 
     @Override
@@ -367,6 +398,7 @@
                 return false;
             }
             session.poll();
+            session.wakeWriter();
             return true;
         }
     }
--- a/src/test/java/wharftrestle/GroupEdfSchedulerTest.java
+++ b/src/test/java/wharftrestle/GroupEdfSchedulerTest.java
@@ -554,6 +554,22 @@
         assertEquals("SUCCESS", host.answer(id));
     }
 
+    @Test
+    void whatMayLeaveItsCallOutDoesSoAtOnceWhereCallsAreJammed() {
+        Sites.Builder site = Sites.site();
+        site.calls = true;
+        site.callShare = 2;
+        site.skipWorth = 0.6;
+        RecordingHost host = new RecordingHost(site.build());
+        for (int i = 0; i < 8; i++) {   // the first calls never end; what stands behind them must not wait for its aim
+            long id = host.arriveAndSettle(Sites.READ);
+            assertEquals(RUNNING, host.phase(id), "begun, jam or not: " + host.log);
+            host.needCall(id);
+            host.in(RUNNING).forEach(skipped -> host.end(skipped, Admission.Outcome.SUCCESS));
+        }
+        assertTrue(host.log.stream().filter(line -> line.startsWith("skip ")).count() >= 5, host.log.toString());
+    }
+
     @Test
     void runsThatSeemOverdueAreNoIllnessWhileOthersEndInTime() {
         RecordingHost host = new RecordingHost(Sites.site().build());
@@ -820,6 +836,30 @@
         }
     }
 
+    @Test
+    void aCrowdOfItsOwnExplainsHowSlowItsRunsAre() {
+        RecordingHost host = new RecordingHost(Sites.site().build());
+        teach(host, Sites.LONG, 25, 0.2);
+        host.gauges = new double[] {0.1, 0};   // cores idle, as runs wait for something else: the limit climbs
+        for (int i = 0; i < 60; i++) {
+            host.arrive(host.request(Sites.LONG).build());
+        }
+        host.settle();
+        for (int i = 0; i < 40 && host.in(RUNNING).size() < 6; i++) {
+            host.pass(0.02);
+        }
+        assertEquals(6, host.in(RUNNING).size(), "three a core");
+        host.gauges = new double[0];
+        for (int i = 0; i < 30; i++) {
+            long id = host.in(RUNNING).get(0);
+            host.known.get(id).phase = OVER;
+            host.known.get(id).answered = true;
+            host.module.ended(host.now, id, Admission.Outcome.SUCCESS, 0.2 * 3.9);
+            host.settle();
+        }
+        assertTrue(host.healthy, "3.9 times the least seen, with three a core");
+    }
+
     @Test
     void oneLongRunOnTwoCoresIsNoIllnessButTwoThatHangAre() {
         RecordingHost host = new RecordingHost(Sites.site().build());
