Take the words of one millisecond together where more than 32 requests are in hand

Lines at fault: Core.settle after each word of the worker pool and the store: the module then looks at all in hand, four to five times a request, and with 100 in hand that is what the CPU goes to. Ruled out: arrivals (they settle at once, so refusals are not held back) and light loads (up to 32 in hand nothing changes). Tests: CoreTest; 300 words are not 300 instants, and a refusal needs no thread. Both fail without.

--- a/src/main/java/wharftrestle/core/Core.java
+++ b/src/main/java/wharftrestle/core/Core.java
@@ -154,6 +154,10 @@
     /** Part of the machine's memory and of the store's share that each of two processes has. */
     private static final double HALF = 0.5;
 
+    /** Requests in hand beyond which words of one moment are taken together, and seconds of that moment. */
+    private static final int MUCH_IN_HAND = 32;
+    private static final double MOMENT = 0.001;
+
     private enum Kind { SPAWN, SUPPLY, PASS, SUSPEND, CALL, ABANDON, ANSWER }
 
     private record Step(Kind kind, byte[] bytes, double until, Answer answer) {
@@ -254,6 +258,8 @@
     private long gaugeCount;
     private double stopAt = Double.POSITIVE_INFINITY;
     private double keysSwept;
+    private double settledAt = Double.NEGATIVE_INFINITY;
+    private boolean unsettled;
     private volatile boolean healthy = true;
     private volatile boolean lameDuck;
     private volatile boolean ceded;
@@ -615,8 +621,23 @@
         return clock;
     }
 
+    /**
+     * Ends the instant after what the worker pool or the store said. Guards against the module looking at all
+     * that is in hand for each of their words: with much in hand, those of a moment make one instant.
+     */
+    private void settleSoon(double now) {
+        if (byId.size() <= MUCH_IN_HAND || now >= settledAt + MOMENT) {
+            settle(now);
+        } else if (!unsettled) {
+            unsettled = true;
+            timers.signal();
+        }
+    }
+
     /** Ends the instant, and the instants that follow from what the module asked for in it. */
     private void settle(double now) {
+        unsettled = false;
+        settledAt = now;
         module.settled(now);
         for (Runnable event = pending.poll(); event != null; event = pending.poll()) {
             event.run();
@@ -629,24 +650,24 @@
         try {
             for (;;) {
                 Wake first = wakes.peek();
-                if (first == null) {
-                    timers.await();
-                    continue;
-                }
-                double wait = first.at() - now();
+                double wait = first == null ? 1 : first.at() - now();
+                boolean moment = unsettled && settledAt + MOMENT - now() < wait;
+                wait = moment ? settledAt + MOMENT - now() : wait;
                 if (wait > 0) {
                     timers.awaitNanos((long) (wait * 1e9) + 1);
                     continue;
                 }
-                wakes.poll();
-                double[] seen = freshGauges();
+                double[] seen = moment ? null : freshGauges();
                 double now = now();
                 try {
-                    module.timer(now, first.label(), seen);
+                    if (!moment) {
+                        wakes.remove(first);
+                        module.timer(now, first.label(), seen);
+                    }
                     settle(now);
                 } catch (RuntimeException fault) {
                     Logger.error(fault, "timer");   // without a timer, nothing held would ever be answered
-                    wakes.add(new Wake(now + 0.1, first.label()));
+                    wakes.add(new Wake(now + 0.1, moment ? 0 : first.label()));
                 }
             }
         } catch (InterruptedException e) {
@@ -734,7 +755,7 @@
         task.signal.signal();
         double now = now();
         module.ended(now, task.id, outcome, elapsed);
-        settle(now);
+        settleSoon(now);
     }
 
     /** A run waits for a call. */
@@ -750,7 +771,7 @@
             task.callBody = body;
             double now = now();
             module.standsAtCall(now, task.id);
-            settle(now);
+            settleSoon(now);
         } finally {
             lock.unlock();
         }
@@ -815,7 +836,7 @@
                 step(task, new Step(Kind.SUPPLY, reply, 0, null));
             }
             module.callEnded(now, task.id, outcome, now - task.callSince);
-            settle(now);
+            settleSoon(now);
         } finally {
             lock.unlock();
         }
--- /dev/null
+++ b/src/test/java/wharftrestle/CoreTest.java
@@ -0,0 +1,103 @@
+package wharftrestle;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import wharftrestle.Admission.Outcome;
+import wharftrestle.core.Core;
+import wharftrestle.ops.Counters;
+
+/** Stories of the core alone, with a module that starts what has a rank and refuses the rest. */
+class CoreTest {
+    private final AtomicInteger instants = new AtomicInteger();
+
+    private Core core(int most) {
+        Counters counters = new Counters(List.of("read", "save", "keyed", "unsafe", "long"));
+        Core core = new Core(Sites.site().build(), 7, most, (now, seed, settings, actions) -> new Admission.Events() {
+            @Override
+            public void arrived(double now, Admission.Request request) {
+                if (request.rank() > 0) {
+                    actions.start(request.id());
+                } else {
+                    actions.refuse(request.id(), false, 0);
+                }
+            }
+
+            @Override
+            public void settled(double now) {
+                instants.incrementAndGet();
+            }
+
+            @Override
+            public void ended(double now, long id, Outcome outcome, double elapsed) { }
+
+            @Override
+            public void standsAtCall(double now, long id) { }
+
+            @Override
+            public void callEnded(double now, long id, Outcome outcome, double elapsed) { }
+
+            @Override
+            public void callerLeft(double now, long id) { }
+
+            @Override
+            public void leaving(double now, double timeLeft) { }
+
+            @Override
+            public void timer(double now, long label, double[] gauges) { }
+        }, counters);
+        core.open(new Core.Pool() {
+            @Override
+            public void spawn(String ref, String className, byte[] body) { }
+
+            @Override
+            public void suspend(String ref) { }
+
+            @Override
+            public void supply(String ref, byte[] reply) { }
+
+            @Override
+            public void pass(String ref, long notice) { }
+
+            @Override
+            public boolean poll() {
+                return false;
+            }
+        }, null, good -> { });
+        core.bound(false, 0);
+        return core;
+    }
+
+    private static Core.Arrival arrival(int number, double rank) {
+        return new Core.Arrival(String.format("%016x", number), 0, 0, 24, 1, rank, null, null,
+                System.currentTimeMillis(), new byte[0]);
+    }
+
+    @Test
+    void whatIsRefusedAtOnceNeedsNoThreadOfItsOwn() {
+        Core core = core(64);
+        Thread[] answered = new Thread[1];
+        assertEquals(null, core.accept(arrival(1, 0), answer -> answered[0] = Thread.currentThread()));
+        assertEquals(Thread.currentThread(), answered[0]);
+    }
+
+    @Test
+    void withMuchInHandTheWordsOfAMomentAreOneInstant() throws InterruptedException {
+        Core core = core(400);
+        CountDownLatch answers = new CountDownLatch(300);
+        for (int i = 1; i <= 300; i++) {
+            core.accept(arrival(i, 0.5), answer -> answers.countDown());
+        }
+        instants.set(0);
+        for (int i = 1; i <= 300; i++) {
+            core.finished(String.format("%016x", i), Outcome.SUCCESS, 0.01, new byte[0]);
+        }
+        assertTrue(instants.get() < 290, instants + " looks at all in hand for 300 words");
+        assertTrue(answers.await(10, TimeUnit.SECONDS), "and none is forgotten");
+    }
+}
