Start from an archive of classes that the build makes by one rehearsed request

Ruled out: the heap's first size (no difference), the log's start (a few ms). Test: the rehearsal ends with an answer to each request, and the build plays it.

--- a/src/main/java/wharftrestle/Main.java
+++ b/src/main/java/wharftrestle/Main.java
@@ -20,7 +20,7 @@
  */
 @Command(name = "wharftrestle", mixinStandardHelpOptions = true,
         description = "Admission and overload control for one script server",
-        subcommands = {Main.Serve.class, Main.Adapter.class, Main.Attach.class, Main.Version.class})
+        subcommands = {Main.Serve.class, Main.Adapter.class, Main.Attach.class, Main.Rehearse.class, Main.Version.class})
 public final class Main implements Runnable {
     private static final int BAD_USE = 2;
 
@@ -123,6 +123,16 @@
         }
     }
 
+    /** One request without a worker pool; the build has the JVM archive what it loads for that. */
+    @Command(name = "rehearse", description = "load what a daemon needs and end; the build makes its archive so")
+    static final class Rehearse implements Callable<Integer> {
+        @Override
+        public Integer call() throws Exception {
+            Rehearsal.play();
+            return 0;
+        }
+    }
+
     /** What this is. */
     @Command(name = "version", description = "print the version")
     static final class Version implements Callable<Integer> {
--- a/src/test/java/wharftrestle/ApplianceTest.java
+++ b/src/test/java/wharftrestle/ApplianceTest.java
@@ -293,6 +293,13 @@
         }
     }
 
+    @Test
+    void theBuildsRehearsalGoesFromEndToEnd() throws Exception {
+        Rehearsal.play();   // throws where any of its requests has no answer
+        assertTrue(Files.readString(Path.of("deploy/balancer.toml")).lines().filter(line -> line.startsWith("build"))
+                .allMatch(line -> line.contains("ArchiveClassesAtExit") && line.contains("rehearse")));
+    }
+
     @Test
     void theFileTurnsOnWhatItNames() throws Exception {
         Config.Appliance off = Config.appliance(Path.of("deploy/appliance.properties"));
