Drop idle peers that have their answer before those that still write their first request

Line at fault: Server.makeRoom ranked by merit alone, so one that takes 2 s to write (silent so far) went before any that had its answer and never spoke again. Ruled out: descriptors (102 of 320) and memory (62 of 88 MB). Test: a slow writer among 60 that stay and 40 that come; it loses its connection without the change.

--- a/src/main/java/wharftrestle/net/Server.java
+++ b/src/main/java/wharftrestle/net/Server.java
@@ -215,6 +215,10 @@
     }
 
     private static final int MOST_TRIES = 8;
+    /** Nanoseconds in which a peer may be writing its first message still. */
+    private static final long FIRST_NANOS = 2_300_000_000L;
+    /** Nanoseconds of silence after which one that had its answers is worth less than one that writes. */
+    private static final long IDLE_NANOS = 1_000_000_000L;
     /** Threads that wait for connections at any time. */
     private static final int READY = 2;
     /** Connections that may wait to be accepted. */
@@ -351,17 +355,26 @@
         }
     }
 
+    /** The least goes first, and among equals who was silent longest. */
+    private static int use(Connection each, long now) {
+        long quiet = now - each.heardAt();
+        boolean silent = each.merit() == Merit.SILENT;
+        return silent && quiet > FIRST_NANOS ? 0 : !silent && quiet > IDLE_NANOS ? 1 : 2 + each.merit().ordinal();
+    }
+
     /**
-     * Closes the connection that has shown least and was silent longest; false where each owes an answer.
-     * Guards against silent peers, or ones that ask once and stay, locking front ends out.
+     * Closes the connection that is likeliest of no more use; false where each owes an answer. Guards against
+     * silent peers, or ones that ask once and stay, locking front ends out; and against those that take two
+     * seconds for their first request being cut for the sake of others that have their answer.
      */
     private boolean makeRoom() {
         Set<Connection> kept = new HashSet<>();
+        long now = System.nanoTime();
         for (int tries = 0; tries < MOST_TRIES; tries++) {
             Connection least = null;
             for (Connection each : open) {
-                if (each.owed() <= 0 && !kept.contains(each) && (least == null || each.merit().compareTo(least.merit()) < 0
-                        || each.merit() == least.merit() && each.heardAt() < least.heardAt())) {
+                if (each.owed() <= 0 && !kept.contains(each) && (least == null || use(each, now) < use(least, now)
+                        || use(each, now) == use(least, now) && each.heardAt() < least.heardAt())) {
                     least = each;
                 }
             }
--- a/src/test/java/wharftrestle/DaemonTest.java
+++ b/src/test/java/wharftrestle/DaemonTest.java
@@ -281,6 +281,41 @@
         }
     }
 
+    @Test
+    void whoWritesItsFirstRequestSlowlyIsNotCutForThoseThatHaveTheirAnswer() throws Exception {
+        List<Caller> stay = new ArrayList<>();
+        try (Loopback site = new Loopback(Sites.site(), 64)) {
+            long began = System.nanoTime();
+            for (int i = 0; i < 60; i++) {   // ask once and keep their connection for good
+                stay.add(site.new Caller());
+                stay.get(i).send("STATUS", "1", "");
+                assertEquals("healthy", stay.get(i).reply().word());
+            }
+            Caller pacer = stay.get(59);
+            while (System.nanoTime() - began < 1_200_000_000L) {   // a second goes by on the wire
+                pacer.send("STATUS", "2", "");
+                pacer.reply();
+            }
+            Caller slow = site.new Caller();
+            stay.add(slow);
+            slow.socket.getOutputStream().write("*5\r\n$3\r\nASK\r\n".getBytes("ISO-8859-1"));
+            for (int i = 0; i < 40; i++) {
+                stay.add(site.new Caller());
+                stay.get(stay.size() - 1).send("STATUS", "1", "");
+                assertEquals("healthy", stay.get(stay.size() - 1).reply().word());
+            }
+            String fields = "txn=00000000000000aa,door=" + System.currentTimeMillis() + ",lb=1,ram=24.5,standing=0.5";
+            slow.socket.getOutputStream().write(("$1\r\n7\r\n$4\r\nread\r\n$" + fields.length() + "\r\n" + fields
+                    + "\r\n$1\r\nx\r\n").getBytes("ISO-8859-1"));
+            site.finish(site.command().ref(), "good", 1, "fine");
+            assertEquals("fine", slow.reply().body());
+        } finally {
+            for (Caller each : stay) {
+                each.close();
+            }
+        }
+    }
+
     @Test
     void aKnownKeyWithAnotherBodyHasNoResultAndNoRun() throws Exception {
         try (Loopback site = new Loopback(Sites.site()); Caller caller = site.new Caller()) {
