--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -100,6 +100,7 @@
     private final Upgrade elder;               // the process to take over from, or null
     private Upgrade other;                     // the one link of a take-over under way
     private boolean taking;                    // this side takes over
+    private Upgrade next;                      // asked while a take-over is under way: its turn comes after
     private ServerSocketChannel successors;
     private volatile boolean closed;
     private final long startedAt = System.nanoTime();
@@ -240,6 +241,9 @@
             other = link;
             halve(true);
             link.sayHanded(core.handOver(link));
+        } else {
+            // Guards against a further process that waits for ever, as the one before this has yet to end.
+            next = link;
         }
     }
 
@@ -260,6 +264,7 @@
     /** The other process has ended: as was wanted, or before it could take over for good. */
     @Override
     public synchronized void lost(Upgrade link) {
+        next = link == next ? null : next;
         if (link != other || closed) {
             return;
         }
@@ -284,6 +289,11 @@
             serveAlone(true);
             awaitSuccessor();
         }
+        if (next != null && state == State.SERVING) {
+            Upgrade waits = next;
+            next = null;
+            asked(waits);
+        }
     }
 
     private void awaitOperators() {
--- a/src/main/java/wharftrestle/net/Bytes.java
+++ b/src/main/java/wharftrestle/net/Bytes.java
@@ -15,11 +15,23 @@
 public final class Bytes {
     private Bytes() { }
 
+    /** An input that is read in runs of bytes; a single one is a run of one. */
+    public abstract static class Runs extends InputStream {
+        @Override
+        public int read() throws IOException {
+            byte[] one = new byte[1];
+            return read(one, 0, 1) < 0 ? -1 : one[0] & 0xff;
+        }
+
+        @Override
+        public abstract int read(byte[] into, int from, int most) throws IOException;
+    }
+
     /**
      * A socket's input with one limit in time for all reads up to it. Guards against a peer that drips: a
      * limit for each read would start anew with every byte.
      */
-    public static final class Timed extends InputStream {
+    public static final class Timed extends Runs {
         private final Socket socket;
         private final InputStream raw;
         private long until;
@@ -34,12 +46,6 @@
             until = nanos;
         }
 
-        @Override
-        public int read() throws IOException {
-            byte[] one = new byte[1];
-            return read(one, 0, 1) < 0 ? -1 : one[0] & 0xff;
-        }
-
         @Override
         public int read(byte[] into, int from, int most) throws IOException {
             socket.setSoTimeout(until == 0 ? 0 : (int) Math.max(1, (until - System.nanoTime()) / 1_000_000));
--- a/src/main/java/wharftrestle/net/Upgrade.java
+++ b/src/main/java/wharftrestle/net/Upgrade.java
@@ -120,14 +120,8 @@
     private void converse() {
         Core.thread("upgrade-write", this::write).start();
         try {
-            InputStream in = new BufferedInputStream(new InputStream() {
+            InputStream in = new BufferedInputStream(new Bytes.Runs() {
                 // The channel's own stream would hold its lock while it waits, and so hold up all writes.
-                @Override
-                public int read() throws IOException {
-                    byte[] one = new byte[1];
-                    return read(one, 0, 1) < 0 ? -1 : one[0] & 0xff;
-                }
-
                 @Override
                 public int read(byte[] into, int from, int most) throws IOException {
                     return channel.read(ByteBuffer.wrap(into, from, Math.min(most, 4096)));
--- a/src/test/java/wharftrestle/UpgradeTest.java
+++ b/src/test/java/wharftrestle/UpgradeTest.java
@@ -97,6 +97,21 @@
         }
     }
 
+    @Test
+    void aThirdProcessHasItsTurnWhenTheFirstHasEnded() throws Exception {
+        try (Loopback old = first(NONE); Loopback next = second(old, NONE);
+                Loopback third = new Loopback(Sites.site(), NONE, 1024, folder.resolve("n1.sock"), old);
+                Caller caller = next.new Caller()) {
+            caller.ask(1, "read", null, "x");
+            next.finish(next.command().ref(), "good", 1, "fine");
+            assertEquals("fine", caller.reply().body(), "the second serves");
+            assertTrue(third.get("/_ready").startsWith("HTTP/1.1 503 "));
+            end(old).join();
+            third.awaitTaking();
+            assertEquals("closing", caller.reply().word());
+        }
+    }
+
     private static String tagAndBody(Reply reply) {
         return reply.tag() + " " + reply.body();
     }
