Let a process be met before it says ready, and look again where its elder ends first

Lines at fault: Lifecycle.ceded, lost and start entered SERVING, and so said ready, before awaitSuccessor had replaced the old process's socket file; a third process started on that word waited in the old one's queue. When the old one had ended, lost() took it for dead within the take-over: it called itself serving beside the second, though it could not listen. Checked: a link to the old socket file makes it so each time; the story fails without the change, passes with it. Ruled out: the queue of successors (Lifecycle.next), as the third's word never reached the second. Now: the socket first, then the state; a process that was handed nothing meets whoever serves; ready needs a listener.

--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -97,7 +97,7 @@
     private final int mostCallers;
     private final int mostRequests;
     private final int mostGateways;
-    private final Upgrade elder;               // the process to take over from, or null
+    private Upgrade elder;                     // the process to take over from, or null
     private Upgrade other;                     // the one link of a take-over under way
     private boolean taking;                    // this side takes over
     private Upgrade next;                      // asked while a take-over is under way: its turn comes after
@@ -171,8 +171,7 @@
             if (uwsgi != null) {
                 uwsgi.start();
             }
-            enter(State.SERVING);
-            awaitSuccessor();
+            serveOn();
         } else {
             Core.thread("take-over", this::takeOver).start();
         }
@@ -230,8 +229,7 @@
     @Override
     public synchronized void ceded(Upgrade link) {
         if (link == other && state == State.STARTING) {
-            enter(State.SERVING);
-            awaitSuccessor();
+            serveOn();
         }
     }
 
@@ -274,20 +272,25 @@
         if (taking) {
             taking = false;
             if (state == State.STARTING) {
+                // Guards against standing beside a third process that took over first, while this one waited its turn.
+                elder = resp.listening() ? null : Upgrade.meet(config.meeting(), core, this);
+                if (elder != null) {
+                    halve(true);
+                    takeOver();
+                    return;
+                }
                 // It died within the take-over: its keys are as lost as at any kill.
                 if (!resp.listening()) {
                     serveAlone(true);
                 }
-                enter(State.SERVING);
-                awaitSuccessor();
+                serveOn();
             }
             Core.thread("operators", this::awaitOperators).start();
         } else if (state == State.CEDED) {
             Logger.warn("{}: the new process has died, this one serves on", config.name());
             core.ceded(false);
-            enter(State.SERVING);
             serveAlone(true);
-            awaitSuccessor();
+            serveOn();
         }
         if (next != null && state == State.SERVING) {
             Upgrade waits = next;
@@ -302,11 +305,16 @@
         }
     }
 
-    private void awaitSuccessor() {
+    /**
+     * This process serves from now on. Guards against a successor that is started on the word 'ready' and then
+     * meets the process before this one: it can be met before it says so.
+     */
+    private void serveOn() {
         if (config.meeting() != null) {
             Bytes.closeQuietly(successors);
             successors = Upgrade.await(config.meeting(), core, this);
         }
+        enter(State.SERVING);
     }
 
     private void stopFronts() {
@@ -373,7 +381,7 @@
 
     @Override
     public boolean ready() {
-        return state == State.SERVING && core.ready();
+        return state == State.SERVING && core.ready() && resp.listening();
     }
 
     @Override
--- a/src/test/java/wharftrestle/UpgradeTest.java
+++ b/src/test/java/wharftrestle/UpgradeTest.java
@@ -112,6 +112,30 @@
         }
     }
 
+    @Test
+    void whoWaitsAtTheFirstProcessTakesOverFromTheSecond() throws Exception {
+        Path early = folder.resolve("early.sock");
+        try (Loopback old = first(NONE)) {
+            Files.createLink(early, folder.resolve("n1.sock"));   // the first one, met before the second took its name
+            try (Loopback next = second(old, NONE);
+                    Loopback third = new Loopback(Sites.site(), NONE, 1024, early, old);
+                    Caller caller = next.new Caller()) {
+                Files.delete(early);
+                Files.createSymbolicLink(early, folder.resolve("n1.sock"));
+                caller.ask(1, "keyed", "k", "x");
+                next.finish(next.command().ref(), "good", 1, "fine");
+                assertEquals("fine", caller.reply().body(), "the second serves");
+                end(old).join();
+                third.awaitTaking();
+                assertEquals("closing", caller.reply().word(), "and not both");
+                try (Caller again = third.new Caller()) {
+                    again.ask(1, 2, System.currentTimeMillis(), "keyed", "k", "x");
+                    assertEquals("fine", again.reply().body(), "all keys came along");
+                }
+            }
+        }
+    }
+
     private static String tagAndBody(Reply reply) {
         return reply.tag() + " " + reply.body();
     }
