--- a/src/main/java/wharftrestle/GroupEdfScheduler.java
+++ b/src/main/java/wharftrestle/GroupEdfScheduler.java
@@ -89,7 +89,7 @@
      * against uneven runs: the long ones are in hand the longest, and 3 to 4 times is common in small crowds.
      */
     private static final double ILL_STRAIN = 5;
-    /** Times its estimate that one run counts at most in that: the few long runs of any hour are no illness. */
+    /** Times its estimate that one run counts at most in that: the few long runs of any hour do no harm. */
     private static final double STRAIN_MOST = 16;
     /**
      * Seconds, and mean runs, without a run's end that confirm it; else slow ends must, by this drag beyond
