Derive heap and caps from the memory limit, and tell heard peers to go before they are closed

Not taken: a second start of the JVM by the program, which costs half a second of a part of a core at every start. Seen then, once at 64 MB: 'server n0 closed the connection of a request which had no answer'. Lines at fault: Server.makeRoom and Resp.first looked at what lay unread, said closing and closed at once; on a process that stands still between (0.06 s of each 0.1 s at its CPU limit) the look is old and a request that crossed is lost. Checked: no drain, no fault and no malformed input at that moment in the log. Now: who was ever heard is told, may still ask for 0.3 s, and is closed after that or when 16 more were told. Silent peers are cut as before: nothing of theirs can be lost.

--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -46,13 +46,17 @@
      * connects must not fill that.
      */
     private static final double CALLERS_SHARE = 0.6;
-    /** MB that the program takes besides the threads of connections and requests, its heap full. */
-    private static final double BASE_MB = 80;
+    /** MB that the program takes besides its heap and the threads of connections and requests. */
+    private static final double BASE_MB = 28;
+    /** MB that its heap takes at most: deploy/run.sh gives it less where memory is short. */
+    private static final double HEAP_MB = 40;
+    /** Part of its memory that stays free. */
+    private static final double MARGIN = 0.08;
     /** MB of a thread: about 110 kB resident, whatever its stack, and its buffers. */
     private static final double THREAD_MB = 0.12;
     /** Threads for requests in hand, and the least for these and for connections. */
     private static final int MOST_IN_HAND = 192;
-    private static final int LEAST = 64;
+    private static final int LEAST = 16;
     /** Part of that which uwsgi gateways have, where they are let in. */
     private static final double UWSGI_PART = 0.25;
     /** Operators' calls at once, with those that never come whole. */
@@ -114,7 +118,8 @@
         this.appliance = appliance;
         stopSeconds = config.stopSeconds();
         // Guards against being killed for memory: threads for requests come first, connections have the rest.
-        int threads = (int) ((config.memoryMb() - BASE_MB) / THREAD_MB);
+        double heap = Math.min(HEAP_MB, Runtime.getRuntime().maxMemory() / 1048576.0);
+        int threads = (int) (((1 - MARGIN) * config.memoryMb() - BASE_MB - heap) / THREAD_MB);
         mostRequests = Math.max(LEAST, Math.min(MOST_IN_HAND, threads / 2));
         mostCallers = Math.max(LEAST, Math.min((int) (CALLERS_SHARE * config.sockets()), threads - mostRequests));
         mostGateways = appliance.uwsgi() == null ? 0 : (int) (UWSGI_PART * mostCallers);
--- a/src/main/java/wharftrestle/front/Resp.java
+++ b/src/main/java/wharftrestle/front/Resp.java
@@ -49,6 +49,8 @@
     private static final int LOOK_MS = 3000;
     /** The least of these where the policy wants idle ones gone: less would cost more than they do. */
     private static final int LEAST_LOOK_MS = 200;
+    /** Milliseconds in which a peer that was told to go may do so: longer than a process stands still for its share. */
+    private static final int GO_MS = 300;
     /** Milliseconds from its opening in which a connection completes its first message. */
     private static final int FIRST_MS = 2500;
     /** Milliseconds in which any other message is complete: longer than a machine stands still. */
@@ -289,18 +291,29 @@
         for (;;) {
             double idleFor = core.idleLimit();
             long look = idleFor > 0 ? Math.max(LEAST_LOOK_MS, Math.min(LOOK_MS, (long) (idleFor * 1000))) : LOOK_MS;
+            look = connection.dismissedAt() != 0 ? GO_MS : look;
             connection.readUntil(silent ? firstBy : System.nanoTime() + look * 1_000_000L);
             try {
                 int mark = connection.in().read();
                 connection.readUntil(silent ? firstBy : System.nanoTime() + MESSAGE_MS * 1_000_000L);
                 return mark;
             } catch (SocketTimeoutException quiet) {
+                long now = System.nanoTime();
+                long told = connection.dismissedAt();
                 double limit = core.idleLimit();
-                boolean idle = silent || limit > 0 && System.nanoTime() - connection.heardAt() > limit * 1e9;
-                if (idle && connection.retire()) {
-                    sayClosing(connection);
+                boolean over = told != 0 ? now - told >= GO_MS * 1_000_000L : silent;
+                if (over && connection.retire()) {
+                    if (told == 0) {
+                        sayClosing(connection);
+                    }
                     return -1;
                 }
+                boolean idle = limit > 0 && now - connection.heardAt() > limit * 1e9;
+                if (told == 0 && !silent && idle && connection.owed() <= 0) {
+                    // Guards against losing a request that crosses the close: its peer hears first, and may still ask.
+                    sayClosing(connection);
+                    connection.dismissed();
+                }
             }
         }
     }
--- a/src/main/java/wharftrestle/net/Server.java
+++ b/src/main/java/wharftrestle/net/Server.java
@@ -36,7 +36,7 @@
         /** Returns at the peer's end; throws {@link MalformedException} at what it cannot read. */
         void serve(Connection connection) throws IOException;
 
-        /** Told of a connection that is about to be closed to make room; nothing is open on it. */
+        /** Tells a connection that it is to be closed, as its listener ends or to make room; nothing is open on it. */
         default void dismiss(Connection connection) { }
     }
 
@@ -67,6 +67,7 @@
         private final long openedAt = System.nanoTime();
         private volatile long heardAt = openedAt;
         private volatile Merit merit = Merit.SILENT;
+        private volatile long dismissedAt;
         private int waiting;
         private boolean writing;
         private boolean closed;
@@ -108,6 +109,16 @@
             }
         }
 
+        /** Its peer was told that no new request may come here, and is given the time to hear of it. */
+        public void dismissed() {
+            dismissedAt = System.nanoTime();
+        }
+
+        /** When its peer was told so; 0 where it was not. */
+        public long dismissedAt() {
+            return dismissedAt;
+        }
+
         /** A request is taken in; false where this connection was retired meanwhile. */
         public boolean begin() {
             return owed.updateAndGet(count -> count == RETIRED ? RETIRED : count + 1) != RETIRED;
@@ -215,6 +226,8 @@
     }
 
     private static final int MOST_TRIES = 8;
+    /** Connections beyond the most that may be about to close. */
+    private static final int MOST_DEPARTING = 16;
     /** Nanoseconds in which a peer may be writing its first message still. */
     private static final long FIRST_NANOS = 2_300_000_000L;
     /** Nanoseconds of silence after which one that had its answers is worth less than one that writes. */
@@ -236,6 +249,8 @@
     private volatile int most;
     private final Counters counters;
     private final Set<Connection> open = ConcurrentHashMap.newKeySet();
+    /** Those of the open ones that were told to close, the first first; touched by who accepts alone. */
+    private final ArrayDeque<Connection> departing = new ArrayDeque<>();
     private final AtomicLong toldAt = new AtomicLong(System.nanoTime() - 2_000_000_000L);
     /** A thread each while it lasts; kept some seconds for the next, as a new one costs more than an answer. */
     private final ThreadPoolExecutor threads;
@@ -334,7 +349,8 @@
     }
 
     private void take(Socket socket) throws IOException {
-        if (open.size() >= most && !makeRoom()) {
+        departing.removeIf(each -> !open.contains(each));
+        if (open.size() - departing.size() >= most && !makeRoom()) {
             // Guards against connections eating the descriptors and threads: nothing was read of it.
             socket.close();
             return;
@@ -363,12 +379,14 @@
     }
 
     /**
-     * Closes the connection that is likeliest of no more use; false where each owes an answer. Guards against
+     * Sends away the connection that is likeliest of no more use; false where each owes an answer. Guards against
      * silent peers, or ones that ask once and stay, locking front ends out; and against those that take two
-     * seconds for their first request being cut for the sake of others that have their answer.
+     * seconds for their first request being cut for the sake of others that have their answer. Guards against
+     * losing a request that crosses its close on a process that stood still for a moment: who was heard before
+     * is told first, and closed when it has not gone by the time that more are told than there is room for.
      */
     private boolean makeRoom() {
-        Set<Connection> kept = new HashSet<>();
+        Set<Connection> kept = new HashSet<>(departing);
         long now = System.nanoTime();
         for (int tries = 0; tries < MOST_TRIES; tries++) {
             Connection least = null;
@@ -381,18 +399,45 @@
             if (least == null) {
                 return false;
             }
-            if (least.retire()) {
+            kept.add(least);
+            if (least.merit() == Merit.SILENT ? cut(least, false) : departing.size() < MOST_DEPARTING || cutFirst()) {
                 counters.add(Count.DISMISSED);
-                open.remove(least);
-                front.dismiss(least);
-                least.close();
+                if (open.contains(least)) {
+                    departing.add(least);
+                    if (least.dismissedAt() == 0) {
+                        front.dismiss(least);
+                        least.dismissed();
+                    }
+                }
                 return true;
             }
-            kept.add(least);
         }
         return false;
     }
 
+    /** Closes one of those told to go, the first told that owes nothing. */
+    private boolean cutFirst() {
+        for (Connection each : departing) {
+            if (cut(each, true)) {
+                departing.remove(each);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean cut(Connection connection, boolean told) {
+        if (!connection.retire()) {
+            return false;
+        }
+        open.remove(connection);
+        if (!told) {
+            front.dismiss(connection);
+        }
+        connection.close();
+        return true;
+    }
+
     private void serve(Connection connection) {
         try {
             front.serve(connection);
