--- a/src/test/java/wharftrestle/ApplianceTest.java
+++ b/src/test/java/wharftrestle/ApplianceTest.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -61,6 +62,28 @@
         }
     }
 
+    @Test
+    void theHeapFollowsTheMemoryLimitOfTheConfiguration() throws Exception {
+        Path java = Files.writeString(folder.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
+        assertTrue(java.toFile().setExecutable(true));
+        String spread = "{\"limits\": {\"cores\": 0.5,\n \"memory_mb\" : 64, \"sockets\":256}}";
+        assertTrue(started(spread).contains(" -Xmx19m "));
+        assertTrue(started("{\"limits\":{\"memory_mb\":32}}").contains(" -Xmx16m "));
+        assertTrue(started("{\"limits\":{\"memory_mb\":192.0}}").contains(" -Xmx40m "));
+        assertTrue(started("no configuration").endsWith(" serve --help"), "the program itself says what is wrong");
+    }
+
+    /** What deploy/run.sh would start. */
+    private static String started(String config) throws Exception {
+        ProcessBuilder run = new ProcessBuilder("sh", "deploy/run.sh", "--help");
+        run.environment().put("PATH", folder + ":" + run.environment().get("PATH"));
+        run.environment().put("EDGE_CONFIG", Files.writeString(folder.resolve("config"), config).toString());
+        Process process = run.start();
+        String line = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8).trim();
+        assertEquals(0, process.waitFor());
+        return line;
+    }
+
     @Test
     void theConsoleShowsAndDrains() throws Exception {
         try (Loopback site = site()) {
