--- a/src/test/java/wharftrestle/ApplianceTest.java
+++ b/src/test/java/wharftrestle/ApplianceTest.java
@@ -74,7 +74,7 @@
     }
 
     /** What deploy/run.sh would start. */
-    private static String started(String config) throws Exception {
+    private String started(String config) throws Exception {
         ProcessBuilder run = new ProcessBuilder("sh", "deploy/run.sh", "--help");
         run.environment().put("PATH", folder + ":" + run.environment().get("PATH"));
         run.environment().put("EDGE_CONFIG", Files.writeString(folder.resolve("config"), config).toString());
