Send away who stays at the process that cedes, and hold an answer's connection until it is written

The log: ceded at 8.82 s with some 350 descriptors, the new one at its half soon after. Lines at fault: Lifecycle.halve lowered the caps and Server.limit sent nobody away; peers that asked once and stay held their connections at the old process until it ended. Resp.Answering gave up the claim on the connection before the answer was sent, so that a close between the two would lose it (read from the code, not seen). Ruled out: connections of the crowd that never ask, which go by themselves within 2.5 s; files and links of the upgrade. Now: at the hand-over all but half of the table, and at 'ceded' all that owe nothing, are told to go and closed 0.3 s later; retire() refuses while an answer waits to be written. Test: who stays at the old process; it fails without.

--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -243,6 +243,8 @@
         if (other == null) {
             other = link;
             halve(true);
+            // Guards against the connections of both being more than one process may have.
+            resp.sendAway((mostCallers - mostGateways) / 2);
             link.sayHanded(core.handOver(link));
         } else {
             // Guards against a further process that waits for ever, as the one before this has yet to end.
@@ -324,7 +326,11 @@
 
     private void stopFronts() {
         resp.stopListening();
-        resp.connections().forEach(Resp::sayClosing);
+        for (Server.Connection connection : resp.connections()) {
+            Resp.sayClosing(connection);
+            connection.dismissed();
+        }
+        resp.sendAway(0);
         if (uwsgi != null) {
             uwsgi.stopListening();
         }
--- a/src/main/java/wharftrestle/front/Resp.java
+++ b/src/main/java/wharftrestle/front/Resp.java
@@ -49,8 +49,6 @@
     private static final int LOOK_MS = 3000;
     /** The least of these where the policy wants idle ones gone: less would cost more than they do. */
     private static final int LEAST_LOOK_MS = 200;
-    /** Milliseconds in which a peer that was told to go may do so: longer than a process stands still for its share. */
-    private static final int GO_MS = 300;
     /** Milliseconds from its opening in which a connection completes its first message. */
     private static final int FIRST_MS = 2500;
     /** Milliseconds in which any other message is complete: longer than a machine stands still. */
@@ -218,10 +216,9 @@
             implements Core.Caller {
         @Override
         public void answer(Core.Answer answer) {
+            boolean owed;
             synchronized (this) {
-                if (open.remove(tag) != null) {
-                    connection.end();
-                }
+                owed = open.remove(tag) != null;
             }
             if (answer.kind() == Core.Answer.Kind.SERVED) {
                 connection.heard(Server.Merit.SERVED);
@@ -231,6 +228,9 @@
                 case FAILED, LATE, CONFLICT -> array(tag, "error", "", answer.result());
                 case REFUSED -> array(tag, "later", advice(answer), answer.result());
             });
+            if (owed) {
+                connection.end();   // guards against a close between the two that loses the answer
+            }
         }
 
         private static String advice(Core.Answer answer) {
@@ -291,7 +291,7 @@
         for (;;) {
             double idleFor = core.idleLimit();
             long look = idleFor > 0 ? Math.max(LEAST_LOOK_MS, Math.min(LOOK_MS, (long) (idleFor * 1000))) : LOOK_MS;
-            look = connection.dismissedAt() != 0 ? GO_MS : look;
+            look = connection.dismissedAt() != 0 ? Server.GO_MS : look;
             connection.readUntil(silent ? firstBy : System.nanoTime() + look * 1_000_000L);
             try {
                 int mark = connection.in().read();
@@ -301,7 +301,7 @@
                 long now = System.nanoTime();
                 long told = connection.dismissedAt();
                 double limit = core.idleLimit();
-                boolean over = told != 0 ? now - told >= GO_MS * 1_000_000L : silent;
+                boolean over = told != 0 ? now - told >= Server.GO_MS * 1_000_000L : silent;
                 if (over && connection.retire()) {
                     if (told == 0) {
                         sayClosing(connection);
--- a/src/main/java/wharftrestle/net/Server.java
+++ b/src/main/java/wharftrestle/net/Server.java
@@ -10,7 +10,9 @@
 import java.net.SocketTimeoutException;
 import java.net.StandardSocketOptions;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.SynchronousQueue;
@@ -133,8 +135,16 @@
             return owed.get();
         }
 
-        /** Takes it out of service; false where a request is open on it or waits unread: a close would lose it. */
+        /**
+         * Takes it out of service; false where a request is open on it or waits unread, or an answer waits to be
+         * written: a close would lose it.
+         */
         public boolean retire() {
+            synchronized (queue) {
+                if (writing && !closed) {
+                    return false;
+                }
+            }
             try {
                 return timed.available() == 0 && (owed.compareAndSet(0, RETIRED) || owed.get() == RETIRED);
             } catch (IOException e) {
@@ -225,6 +235,8 @@
         }
     }
 
+    /** Milliseconds in which a peer that was told to go may do so: longer than a process stands still for its share. */
+    public static final int GO_MS = 300;
     private static final int MOST_TRIES = 8;
     /** Connections beyond the most that may be about to close. */
     private static final int MOST_DEPARTING = 16;
@@ -415,6 +427,29 @@
         return false;
     }
 
+    /**
+     * Sends away all but so many, those of least use first, without harm to what is on its way: who was heard is
+     * told, and closed if it has not gone by {@link #GO_MS}; the silent ones end by themselves.
+     */
+    public void sendAway(int keep) {
+        long now = System.nanoTime();
+        List<Connection> surplus = open.stream().filter(each -> each.merit() != Merit.SILENT && each.owed() <= 0)
+                .sorted(Comparator.comparingInt((Connection each) -> use(each, now)).thenComparing(Connection::heardAt))
+                .limit(Math.max(0, open.size() - keep)).toList();
+        for (Connection each : surplus) {
+            if (each.dismissedAt() == 0) {
+                front.dismiss(each);
+                each.dismissed();
+            }
+        }
+        if (!surplus.isEmpty()) {
+            Core.thread(name + "-away", () -> {
+                LockSupport.parkNanos(GO_MS * 1_000_000L);
+                surplus.stream().filter(open::contains).forEach(each -> cut(each, true));
+            }).start();
+        }
+    }
+
     /** Closes one of those told to go, the first told that owes nothing. */
     private boolean cutFirst() {
         for (Connection each : departing) {
--- a/src/test/java/wharftrestle/UpgradeTest.java
+++ b/src/test/java/wharftrestle/UpgradeTest.java
@@ -136,6 +136,24 @@
         }
     }
 
+    @Test
+    void whoStaysAtTheOldProcessIsSentAwayOnceItOwesNothing() throws Exception {
+        try (Loopback old = first(NONE); Caller stays = old.new Caller(); Caller waits = old.new Caller()) {
+            stays.send("STATUS", "1", "");
+            assertEquals("healthy", stays.reply().word());
+            waits.ask(1, "read", null, "x");
+            Command run = old.command();
+            try (Loopback next = second(old, NONE)) {
+                assertEquals("closing", stays.reply().word());
+                assertEquals(-1, stays.socket.getInputStream().read(), "its descriptor is the new one's by now");
+                assertEquals("closing", waits.reply().word());
+                old.finish(run.ref(), "good", 1, "fine");
+                assertEquals("fine", waits.reply().body());
+                assertTrue(next.life.respAddress().equals(old.life.respAddress()));
+            }
+        }
+    }
+
     private static String tagAndBody(Reply reply) {
         return reply.tag() + " " + reply.body();
     }
