--- a/src/main/java/wharftrestle/core/Core.java
+++ b/src/main/java/wharftrestle/core/Core.java
@@ -766,7 +766,7 @@
             if (task == null || !task.spawned || task.runOver) {
                 return;
             }
-                task.notice = notice;
+            task.notice = notice;
             task.callFailed = false;
             task.callBody = body;
             double now = now();
