Cut no heard peer whose next request is read and not yet taken in, say closing once

Lines at fault, read from the code: Server.retire looked at what the socket holds, not at what its reader has taken out and not yet begun, or is still being written; a table that sheds heard peers could cut it. Now: the front says when it has dealt with all that was read; until then a heard peer is not retired. Silent ones may be. Ruled out: malformed input (none counted), descriptors (362 of 512), the end of the old process (2 s later). Also: a process that had ceded and then left told its peers 'closing' a second time, which a story of the upgrade met.

--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -327,8 +327,11 @@
     private void stopFronts() {
         resp.stopListening();
         for (Server.Connection connection : resp.connections()) {
-            Resp.sayClosing(connection);
-            connection.dismissed();
+            if (connection.dismissedAt() == 0) {
+                // Guards against telling a peer twice, where a process that has ceded then leaves.
+                Resp.sayClosing(connection);
+                connection.dismissed();
+            }
         }
         resp.sendAway(0);
         if (uwsgi != null) {
--- a/src/main/java/wharftrestle/front/Resp.java
+++ b/src/main/java/wharftrestle/front/Resp.java
@@ -288,6 +288,9 @@
     private int first(Server.Connection connection) throws IOException {
         boolean silent = connection.merit() == Server.Merit.SILENT;
         long firstBy = connection.openedAt() + FIRST_MS * 1_000_000L;
+        if (connection.in().available() == 0) {
+            connection.settled();
+        }
         for (;;) {
             double idleFor = core.idleLimit();
             long look = idleFor > 0 ? Math.max(LEAST_LOOK_MS, Math.min(LOOK_MS, (long) (idleFor * 1000))) : LOOK_MS;
--- a/src/main/java/wharftrestle/net/Bytes.java
+++ b/src/main/java/wharftrestle/net/Bytes.java
@@ -35,6 +35,7 @@
         private final Socket socket;
         private final InputStream raw;
         private long until;
+        private volatile boolean fresh;
 
         public Timed(Socket socket) throws IOException {
             this.socket = socket;
@@ -49,7 +50,19 @@
         @Override
         public int read(byte[] into, int from, int most) throws IOException {
             socket.setSoTimeout(until == 0 ? 0 : (int) Math.max(1, (until - System.nanoTime()) / 1_000_000));
-            return raw.read(into, from, most);
+            int read = raw.read(into, from, most);
+            fresh = true;
+            return read;
+        }
+
+        /** All that was read so far has been dealt with. */
+        public void settled() {
+            fresh = false;
+        }
+
+        /** Something was read that has not been dealt with. */
+        public boolean fresh() {
+            return fresh;
         }
 
         @Override
--- a/src/main/java/wharftrestle/net/Server.java
+++ b/src/main/java/wharftrestle/net/Server.java
@@ -70,6 +70,7 @@
         private volatile long heardAt = openedAt;
         private volatile Merit merit = Merit.SILENT;
         private volatile long dismissedAt;
+        private volatile boolean tellsSettled;
         private int waiting;
         private boolean writing;
         private boolean closed;
@@ -111,6 +112,12 @@
             }
         }
 
+        /** Its front has dealt with all that was read and waits for the next message. */
+        public void settled() {
+            tellsSettled = true;
+            timed.settled();
+        }
+
         /** Its peer was told that no new request may come here, and is given the time to hear of it. */
         public void dismissed() {
             dismissedAt = System.nanoTime();
@@ -136,8 +143,8 @@
         }
 
         /**
-         * Takes it out of service; false where a request is open on it or waits unread, or an answer waits to be
-         * written: a close would lose it.
+         * Takes it out of service; false where a request is open on it, waits unread or is read and not yet taken
+         * in, or an answer waits to be written: a close would lose it.
          */
         public boolean retire() {
             synchronized (queue) {
@@ -146,7 +153,9 @@
                 }
             }
             try {
-                return timed.available() == 0 && (owed.compareAndSet(0, RETIRED) || owed.get() == RETIRED);
+                // Of a silent peer nothing can be lost: what a new connection brings has failed where it is closed.
+                boolean inHand = tellsSettled && merit != Merit.SILENT && timed.fresh();
+                return timed.available() == 0 && !inHand && (owed.compareAndSet(0, RETIRED) || owed.get() == RETIRED);
             } catch (IOException e) {
                 return true;   // its end is known already
             }
--- a/src/test/java/wharftrestle/DaemonTest.java
+++ b/src/test/java/wharftrestle/DaemonTest.java
@@ -15,6 +15,7 @@
 import wharftrestle.Loopback.Caller;
 import wharftrestle.Loopback.Command;
 import wharftrestle.Loopback.Reply;
+import wharftrestle.net.Bytes;
 import wharftrestle.net.Config;
 import wharftrestle.ops.Counters.Count;
 
@@ -303,6 +304,31 @@
         }
     }
 
+    @Test
+    void whoWasHeardAndWritesIsNotCutForOthers() throws Exception {
+        List<Caller> more = new ArrayList<>();
+        try (Loopback site = new Loopback(Sites.site(), 64); Caller first = site.new Caller()) {
+            first.send("STATUS", "1", "");
+            assertEquals("healthy", first.reply().word());
+            String fields = "txn=00000000000000aa,door=" + System.currentTimeMillis() + ",lb=1,ram=24.5,standing=0.5";
+            byte[] begun = Bytes.ascii("*5\r\n$3\r\nASK\r\n$1\r\n7\r\n$4\r\nread\r\n$" + fields.length() + "\r\n");
+            first.socket.getOutputStream().write(begun);
+            for (int i = 0; i < 60; i++) {   // the table is full, and more than may be on their way out are told to go
+                more.add(site.new Caller());
+                more.get(i).send("STATUS", "1", "");
+                assertEquals("healthy", more.get(i).reply().word());
+            }
+            assertEquals("closing", first.reply().word());
+            first.socket.getOutputStream().write(Bytes.ascii(fields + "\r\n$1\r\nx\r\n"));
+            site.finish(site.command().ref(), "good", 1, "fine");
+            assertEquals("fine", first.reply().body());
+        } finally {
+            for (Caller each : more) {
+                each.close();
+            }
+        }
+    }
+
     @Test
     void whoWritesItsFirstRequestSlowlyIsNotCutForThoseThatHaveTheirAnswer() throws Exception {
         List<Caller> stay = new ArrayList<>();
