Read the operators' settings from a checked, bounded script in place of properties

Need: durable results, and pools after them, need settings with types, lists and computed values; a file of properties has neither types nor places for its errors.

Change: package settings, a Starlark subset on an ANTLR grammar: def, if, for, comprehensions, no recursion, no I/O, 100,000 steps and bounded sizes; a typed schema; 'settings check' and 'settings show' with the origin of each value. The platform's run line names no script, and without one no class of the settings or of ANTLR is loaded.

--- a/src/main/java/wharftrestle/Main.java
+++ b/src/main/java/wharftrestle/Main.java
@@ -12,6 +12,8 @@
 import sun.misc.Signal;
 import wharftrestle.net.Config;
 import wharftrestle.ops.Console;
+import wharftrestle.settings.BadSettingsException;
+import wharftrestle.settings.Settings;
 import wharftrestle.policy.GroupEdfScheduler;
 import wharftrestle.wire.WireAdapter;
 
@@ -21,7 +23,8 @@
  */
 @Command(name = "wharftrestle", mixinStandardHelpOptions = true,
         description = "Admission and overload control for one script server",
-        subcommands = {Main.Serve.class, Main.Adapter.class, Main.Attach.class, Main.Rehearse.class, Main.Version.class})
+        subcommands = {Main.Serve.class, Main.Adapter.class, Main.Attach.class, Main.Rehearse.class,
+            Main.SettingsOf.class, Main.Version.class})
 public final class Main implements Runnable {
     private static final int BAD_USE = 2;
 
@@ -34,7 +37,7 @@
         CommandLine line = new CommandLine(new Main());
         line.setParameterExceptionHandler((e, given) -> complain(e.getMessage()));
         line.setExecutionExceptionHandler((e, command, parsed) -> {
-            if (e instanceof Config.BadConfigException) {
+            if (e instanceof Config.BadConfigException || e instanceof BadSettingsException) {
                 return complain(e.getMessage());
             }
             throw e;
@@ -56,20 +59,21 @@
 
     @Override
     public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "name a command: serve, adapter, console or version");
+        throw new CommandLine.ParameterException(spec.commandLine(), "name a command: serve, console, settings, adapter or version");
     }
 
     /** The daemon. */
     @Command(name = "serve", description = "serve the platform's front ends, in the foreground")
     static final class Serve implements Callable<Integer> {
-        @Option(names = "--appliance", description = "file with the addresses of uwsgi, console and SNMP",
-                defaultValue = "deploy/appliance.properties")
+        @Option(names = "--appliance", paramLabel = "FILE",
+                description = "the operators' settings, such as deploy/appliance.star; without it all they set is off")
         private Path appliance;
 
         @Override
         public Integer call() throws Exception {
             Config config = Config.read(System.getenv());
-            Config.Appliance extras = Config.appliance(appliance);
+            // The platform names no script: nothing of the settings' language is loaded there.
+            Config.Appliance extras = appliance == null ? Config.Appliance.none() : Settings.read(appliance).appliance();
             Lifecycle life;
             try {
                 life = new Lifecycle(config, extras);
@@ -100,11 +104,10 @@
             description = "call a running daemon: ready, vars, lameduck on, lameduck off, status, counters, drain")
     static final class Attach implements Callable<Integer> {
         @Option(names = "--at",
-                description = "the daemon's console address; default: $EDGE_CONSOLE, else as the appliance's file says")
+                description = "the daemon's console address; default: $EDGE_CONSOLE, else control in --appliance")
         private String at;
 
-        @Option(names = "--appliance", description = "file with the console address",
-                defaultValue = "deploy/appliance.properties")
+        @Option(names = "--appliance", paramLabel = "FILE", description = "the operators' settings, for control.listen")
         private Path appliance;
 
         @CommandLine.Parameters(arity = "0..2", paramLabel = "COMMAND",
@@ -115,9 +118,9 @@
         public Integer call() throws Exception {
             String told = at != null ? at : System.getenv().getOrDefault("EDGE_CONSOLE", "");
             InetSocketAddress address = !told.isBlank() ? Config.address("console", told)
-                    : Config.appliance(appliance).control();
+                    : appliance == null ? null : Settings.read(appliance).appliance().control();
             if (address == null) {
-                throw new Config.BadConfigException("control.listen is off, and no --at says where to attach");
+                throw new Config.BadConfigException("say where to attach: --at HOST:PORT, or --appliance FILE with control");
             }
             return new Console(System.in, System.out, System.err)
                     .attach(address, command == null ? null : String.join(" ", command));
@@ -134,6 +137,46 @@
         }
     }
 
+    /** The operators' settings. */
+    @Command(name = "settings", description = "check the operators' settings, or show them",
+            subcommands = {SettingsOf.Check.class, SettingsOf.Show.class})
+    static final class SettingsOf implements Runnable {
+        @CommandLine.Spec
+        private CommandLine.Model.CommandSpec spec;
+
+        @Override
+        public void run() {
+            throw new CommandLine.ParameterException(spec.commandLine(), "name a command: settings check, settings show");
+        }
+
+        /** Says whether a file can be used. */
+        @Command(name = "check", description = "read a settings script and say whether it can be used")
+        static final class Check implements Callable<Integer> {
+            @CommandLine.Parameters(paramLabel = "FILE")
+            private Path file;
+
+            @Override
+            public Integer call() throws Exception {
+                Settings.read(file);
+                System.out.println(file + ": can be used");
+                return 0;
+            }
+        }
+
+        /** Shows what holds. */
+        @Command(name = "show", description = "the effective values with their origin")
+        static final class Show implements Callable<Integer> {
+            @CommandLine.Parameters(paramLabel = "FILE", arity = "0..1")
+            private Path file;
+
+            @Override
+            public Integer call() throws Exception {
+                System.out.print((file == null ? Settings.none() : Settings.read(file)).table());
+                return 0;
+            }
+        }
+    }
+
     /** What this is. */
     @Command(name = "version", description = "print the version")
     static final class Version implements Callable<Integer> {
--- a/src/main/java/wharftrestle/net/Config.java
+++ b/src/main/java/wharftrestle/net/Config.java
@@ -4,20 +4,18 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.io.Reader;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
-import java.util.Properties;
 import wharftrestle.policy.Admission;
 import wharftrestle.wire.MalformedLineException;
 import wharftrestle.wire.SettingsReader;
 
 /**
- * Owns what the program is told at its start: the platform's configuration, where the processes of an upgrade
- * meet, and the appliance's file with the addresses of uwsgi, console and SNMP. It must never fill in what is
- * missing or wrong: that is one plain line in a {@link BadConfigException}.
+ * Owns what the program is told at its start: the platform's configuration, and where the processes of an upgrade
+ * meet. What operators set comes from {@code settings}, in the records below. It must never fill in what is missing or
+ * wrong: that is one plain line in a {@link BadConfigException}.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress pool, InetSocketAddress db,
                      InetSocketAddress naming, InetSocketAddress console, long seed, double stopSeconds, int sockets,
@@ -32,9 +30,34 @@
         }
     }
 
-    /** The addresses that the appliance's file sets; null where it sets none. */
+    /** kB booked for a held uwsgi request where nothing is set. */
+    public static final double HELD_KB = 24;
+
+    /**
+     * Results kept over restarts.
+     *
+     * @param folder   on a disk that lasts
+     * @param most     bytes on disk
+     * @param keys     known at most
+     * @param queue    bytes that wait for the disk at most
+     * @param patience seconds after which a silent disk counts as stalled
+     * @param sync     "group", "each" or "none"
+     */
+    public record Durable(Path folder, long most, int keys, int queue, double patience, String sync) { }
+
+    /** What the operators' settings open besides the platform's front; null where off. */
     public record Appliance(InetSocketAddress uwsgi, InetSocketAddress control, InetSocketAddress snmp,
-                            String community, double heldKb) { }
+                            String community, double heldKb, Durable durable) {
+        public Appliance(InetSocketAddress uwsgi, InetSocketAddress control, InetSocketAddress snmp, String community,
+                double heldKb) {
+            this(uwsgi, control, snmp, community, heldKb, null);
+        }
+
+        /** Nothing but the platform's front: what the platform has. */
+        public static Appliance none() {
+            return new Appliance(null, null, null, "public", HELD_KB, null);
+        }
+    }
 
     public static Config read(Map<String, String> environment) throws BadConfigException {
         String file = environment.get("EDGE_CONFIG");
@@ -74,53 +97,12 @@
                 : Path.of(folder, "wharftrestle-" + name.replaceAll("[^A-Za-z0-9_.-]", "_") + ".sock");
     }
 
-    public static Appliance appliance(Path file) throws BadConfigException {
-        Properties set = new Properties();
-        try (Reader in = Files.newBufferedReader(file)) {
-            set.load(in);
-        } catch (IOException | IllegalArgumentException e) {
-            throw new BadConfigException("the appliance's file cannot be read: " + e.getMessage());
-        }
-        double held;
-        try {
-            held = Double.parseDouble(set.getProperty("uwsgi.held_kb", "24").trim());
-        } catch (NumberFormatException e) {
-            held = -1;
-        }
-        if (!(held > 0 && held < 2000)) {
-            throw new BadConfigException("uwsgi.held_kb must lie above 0 and under 2000");
-        }
-        return new Appliance(optional(set, "uwsgi.listen"), loopback(set, "control.listen"),
-                loopback(set, "snmp.listen"), set.getProperty("snmp.community", "public").trim(), held);
-    }
-
-    private static InetSocketAddress optional(Properties set, String key) throws BadConfigException {
-        String value = set.getProperty(key, "").trim();
-        return value.isEmpty() ? null : address(key, value);
-    }
-
-    private static InetSocketAddress loopback(Properties set, String key) throws BadConfigException {
-        InetSocketAddress address = optional(set, key);
-        if (address != null && !address.getAddress().isLoopbackAddress()) {
-            throw new BadConfigException(key + " must be a loopback address");
-        }
-        return address;
-    }
-
     /** HOST:PORT with a numeric host: there are no names to look up. */
     public static InetSocketAddress address(String key, String text) throws BadConfigException {
-        int colon = text.lastIndexOf(':');
-        if (colon > 0 && text.substring(0, colon).matches("[0-9.]{7,15}|\\[[0-9a-fA-F:.]+]")) {
-            try {
-                InetSocketAddress address = new InetSocketAddress(text.substring(0, colon),
-                        Integer.parseInt(text.substring(colon + 1)));
-                if (!address.isUnresolved()) {
-                    return address;
-                }
-            } catch (IllegalArgumentException e) {
-                // Named below.
-            }
+        InetSocketAddress address = Address.of(text);
+        if (address == null) {
+            throw new BadConfigException("'" + key + "' is no address: '" + text + "'");
         }
-        throw new BadConfigException("'" + key + "' is no address: '" + text + "'");
+        return address;
     }
 }
--- a/src/test/java/wharftrestle/ApplianceTest.java
+++ b/src/test/java/wharftrestle/ApplianceTest.java
@@ -322,25 +322,4 @@
         assertTrue(Files.readString(Path.of("deploy/balancer.toml")).lines().filter(line -> line.startsWith("build"))
                 .allMatch(line -> line.contains("ArchiveClassesAtExit") && line.contains("rehearse")));
     }
-
-    @Test
-    void theFileTurnsOnWhatItNames() throws Exception {
-        Config.Appliance off = Config.appliance(Path.of("deploy/appliance.properties"));
-        assertEquals(new Config.Appliance(null, null, null, "public", 24), off, "all off on the platform");
-        Path file = folder.resolve("appliance.properties");
-        Files.writeString(file, "uwsgi.listen=127.0.0.1:3031\ncontrol.listen=[::1]:7401\nsnmp.listen=127.0.0.1:7161\n");
-        Config.Appliance on = Config.appliance(file);
-        assertEquals(List.of(3031, 7401, 7161),
-                List.of(on.uwsgi().getPort(), on.control().getPort(), on.snmp().getPort()));
-        for (String bad : new String[] {"control.listen=192.0.2.1:7401", "uwsgi.listen=somewhere",
-            "uwsgi.held_kb=0", "snmp.listen=0.0.0.0:161"}) {
-            Files.writeString(file, bad);
-            try {
-                Config.appliance(file);
-                throw new AssertionError(bad + " was taken");
-            } catch (Config.BadConfigException e) {
-                assertEquals(1, e.getMessage().lines().count());
-            }
-        }
-    }
 }
