--- a/src/main/java/wharftrestle/Main.java
+++ b/src/main/java/wharftrestle/Main.java
@@ -59,7 +59,8 @@
 
     @Override
     public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "name a command: serve, console, settings, adapter or version");
+        throw new CommandLine.ParameterException(spec.commandLine(),
+                "name a command: serve, console, settings, adapter or version");
     }
 
     /** The daemon. */
@@ -146,7 +147,8 @@
 
         @Override
         public void run() {
-            throw new CommandLine.ParameterException(spec.commandLine(), "name a command: settings check, settings show");
+            throw new CommandLine.ParameterException(spec.commandLine(),
+                "name a command: settings check, settings show");
         }
 
         /** Says whether a file can be used. */
--- a/src/main/java/wharftrestle/settings/Schema.java
+++ b/src/main/java/wharftrestle/settings/Schema.java
@@ -59,7 +59,7 @@
                 field("queue_kb", whole(64, 65_536), 1024L, "kB that wait for the disk at most"),
                 field("patience_ms", whole(10, 5000), 300L, "a disk that is silent for longer counts as stalled"),
                 field("sync", choice(SYNCS, "each", "none"), SYNCS,
-                        "group: many records share a sync; each: one a record; none: a machine's loss of power may lose some"));
+                        "group: records share a sync; each: one a record; none: a loss of power may lose some"));
     }
 
     private Schema() { }
--- a/src/main/java/wharftrestle/settings/Script.java
+++ b/src/main/java/wharftrestle/settings/Script.java
@@ -171,7 +171,8 @@
         int open = 0;
         for (int i = 0; i < text.length(); i++) {
             // Guards the parser's own depth: no settings need this, and a stack that overflows has no line to show.
-            open = Math.max(0, open + ("([{".indexOf(text.charAt(i)) >= 0 ? 1 : ")]}".indexOf(text.charAt(i)) >= 0 ? -1 : 0));
+            char c = text.charAt(i);
+            open = Math.max(0, open + ("([{".indexOf(c) >= 0 ? 1 : ")]}".indexOf(c) >= 0 ? -1 : 0));
             if (open > MOST_DEPTH) {
                 throw new Fault(new Place((int) text.substring(0, i).lines().count(), 1),
                         "more than " + MOST_DEPTH + " brackets within each other");
@@ -500,7 +501,8 @@
                 if (argument.NAME() == null) {
                     throw new Fault(place(argument), name + " takes its values by name: " + name + "(name = value)");
                 }
-                if (given.put(argument.NAME().getText(), new Given(value(argument.expr()), place(argument.expr()))) != null) {
+                Given one = new Given(value(argument.expr()), place(argument.expr()));
+                if (given.put(argument.NAME().getText(), one) != null) {
                     throw new Fault(place(argument), "'" + argument.NAME().getText() + "' stands twice");
                 }
             }
--- a/src/test/java/wharftrestle/settings/SettingsTest.java
+++ b/src/test/java/wharftrestle/settings/SettingsTest.java
@@ -150,7 +150,8 @@
 
     @Provide
     Arbitrary<String> scraps() {
-        return Arbitraries.of(List.of("x", "=", "1", "(", ")", "[", "]", "{", "}", ":", "\n", "\n  ", "\n    ", "if ", "for ",
+        return Arbitraries.of(List.of("x", "=", "1", "(", ")", "[", "]", "{", "}", ":", "\n", "\n  ", "\n    ", "if ",
+                "for ",
                 " in ", "def ", "f", ",", "\"s\"", "+", "-", "*", "//", "durable", "dir", " not ", " else ", "range", "9",
                 "return ", "#", "'", "\\", "\t", " ", ".5", "%", "<", "é", ";", " and ", "elif ", "\r\n", "None", "True"))
                 .list().ofMaxSize(60).map(parts -> String.join("", parts));
