Keep intents and results of keyed runs on disk: a log with group commit, off unless set

Need: a box that dies inside a key's window ran a repeat again, as its keys lived in memory alone.

Change: package durable. An intent is on disk before its run is spawned, a result before its answer; one writer syncs once for all that waits. What cannot be recorded is refused at once with a time to come back; unkeyed work goes on. Both processes of an upgrade share the log: only the owner of the keys writes.

--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -9,8 +9,10 @@
 import java.util.concurrent.locks.LockSupport;
 import org.tinylog.Logger;
 import wharftrestle.core.Core;
+import wharftrestle.durable.Journal;
 import wharftrestle.front.Resp;
 import wharftrestle.front.Uwsgi;
+import wharftrestle.keys.KeyTable;
 import wharftrestle.net.Bytes;
 import wharftrestle.net.Config;
 import wharftrestle.net.PoolLink;
@@ -77,6 +79,11 @@
     private static final double CEDED_MOST = 3;
     /** Seconds beyond that. */
     private static final double CEDED_MORE = 0.7;
+    /** Milliseconds between two tries for the folder of kept results, and how many. */
+    private static final int LOCK_MS = 50;
+    private static final int LOCK_TRIES = 20;
+    /** Milliseconds for which what waits for the disk holds up a hand-over. */
+    private static final int HAND_MS = 1000;
     /** Milliseconds between two tries for an address that the ceding process still has. */
     private static final int AGAIN_MS = 200;
 
@@ -96,6 +103,7 @@
     private volatile SnmpAgent snmp;
     private final StoreClient store;
     private final Reporter reporter;
+    private final Journal journal;             // null where no results are kept
     private final CountDownLatch notice = new CountDownLatch(1);
     private volatile State state = State.STARTING;
     private volatile long noticedAt;
@@ -135,8 +143,15 @@
                 new Uwsgi(core, counters, config.seed(), appliance.heldKb()), counters);
         InetSocketAddress at = config.console() != null ? config.console() : appliance.control();
         door = at == null ? null : new Server("door", at, MOST_CALLS, new Door(this), counters);
+        journal = appliance.durable() == null ? null : new Journal(appliance.durable());
+        if (journal != null) {
+            core.record(journal);
+        }
         elder = config.meeting() == null ? null : Upgrade.meet(config.meeting(), core, this);
         if (elder == null) {
+            if (journal != null) {
+                core.recovered(journal.open(longestWindow()));   // before the first repeat can be read
+            }
             resp.listen(config.meeting() != null, true);
             if (uwsgi != null) {
                 uwsgi.listen(config.meeting() != null, true);
@@ -148,6 +163,32 @@
         }
     }
 
+    /** Seconds in which a key of any class may come again, with the slack of the table. */
+    private double longestWindow() {
+        return KeyTable.SLACK + config.settings().classes().stream()
+                .mapToDouble(Admission.RequestClass::window).max().orElse(0);
+    }
+
+    /**
+     * Takes the folder of kept results from the other process of this box, which gives it back or has died. Guards
+     * against runs that nobody records: where it cannot be had, keyed requests are refused, and all else is served.
+     */
+    private void takeRecords() {
+        if (journal == null) {
+            return;
+        }
+        for (int tries = 0; tries < LOCK_TRIES; tries++) {
+            try {
+                core.recovered(journal.open(longestWindow()));
+                return;
+            } catch (IOException e) {
+                Logger.warn("kept results: {}", e.getMessage());
+                LockSupport.parkNanos(LOCK_MS * 1_000_000L);
+            }
+        }
+        Logger.error("{}: kept results cannot be had, keyed requests are refused", config.name());
+    }
+
     /** Lets operators in; false where an address of theirs cannot be had now. */
     private synchronized boolean operatorsIn() {
         try {
@@ -214,6 +255,7 @@
     @Override
     public synchronized void handed(Upgrade link) {
         if (link == other && state == State.STARTING) {
+            takeRecords();
             serveAlone(false);
             link.sayListens();
         }
@@ -247,7 +289,11 @@
             halve(true);
             // Guards against the connections of both being more than one process may have.
             resp.sendAway((mostCallers - mostGateways) / 2);
-            link.sayHanded(core.handOver(link));
+            int handed = core.handOver(link);
+            if (journal != null) {
+                journal.close(HAND_MS);   // only the owner of the keys writes, and it reads what is on disk by now
+            }
+            link.sayHanded(handed);
         } else {
             // Guards against a further process that waits for ever, as the one before this has yet to end.
             next = link;
@@ -276,6 +322,9 @@
             return;
         }
         other = null;
+        if (journal != null && journal.state() == Journal.State.SHUT) {
+            takeRecords();
+        }
         core.otherGone();
         halve(false);
         if (taking) {
@@ -488,6 +537,9 @@
         for (Server.Connection connection : resp.connections()) {
             connection.awaitWritten(Math.max(0, (long) ((left() - LAST / 2) * 1000)));
         }
+        if (journal != null) {
+            journal.close(Math.max(0, (long) (left() * 1000)));   // the last result is on disk
+        }
         enter(State.STOPPED);
     }
 
@@ -502,6 +554,9 @@
         if (door != null) {
             door.close();
         }
+        if (journal != null) {
+            journal.close();
+        }
         if (snmp != null) {
             snmp.close();
         }
--- a/src/main/java/wharftrestle/Main.java
+++ b/src/main/java/wharftrestle/Main.java
@@ -10,6 +10,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import sun.misc.Signal;
+import wharftrestle.durable.UnusableException;
 import wharftrestle.net.Config;
 import wharftrestle.ops.Console;
 import wharftrestle.settings.BadSettingsException;
@@ -78,6 +79,8 @@
             Lifecycle life;
             try {
                 life = new Lifecycle(config, extras);
+            } catch (UnusableException e) {
+                throw new Config.BadConfigException("durable: " + e.getMessage());
             } catch (IOException e) {
                 throw new Config.BadConfigException("cannot listen: " + e.getMessage());
             }
--- a/src/main/java/wharftrestle/core/Core.java
+++ b/src/main/java/wharftrestle/core/Core.java
@@ -1,6 +1,8 @@
 package wharftrestle.core;
 
+import java.io.IOException;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -16,6 +18,7 @@
 import org.tinylog.Logger;
 import wharftrestle.policy.Admission;
 import wharftrestle.policy.Admission.Outcome;
+import wharftrestle.keys.KeyState;
 import wharftrestle.keys.KeyTable;
 import wharftrestle.ops.Counters;
 import wharftrestle.ops.Counters.Count;
@@ -120,6 +123,15 @@
 
         /** A key of this side never ran and is not held any more. */
         void freed(String key);
+
+        /** Asks the side that writes to have the intent of this side's run on disk. */
+        void intend(String key, long door, byte[] body);
+
+        /** The other side's intent is on disk, or cannot be. */
+        void intended(String key, boolean written);
+
+        /** The result of the other side's run is on disk, or could not be written. */
+        void saved(String key);
     }
 
     /** Makes the module once the worker pool is up. */
@@ -151,7 +163,7 @@
     private static final int MUCH_IN_HAND = 32;
     private static final double MOMENT = 0.001;
 
-    private enum Kind { SPAWN, SUPPLY, PASS, SUSPEND, CALL, ABANDON, ANSWER }
+    private enum Kind { INTEND, SPAWN, SUPPLY, PASS, SUSPEND, CALL, ABANDON, REPLAY, ANSWER }
 
     private record Step(Kind kind, byte[] bytes, double until, Answer answer) {
         static Step of(Kind kind) {
@@ -182,6 +194,8 @@
         KeyTable.Entry<Task> entry;
         boolean arrived;       // at the module, or before it
         boolean granted;       // its key, by the process that owns all keys
+        Object intent;         // on its way to the disk
+        double recordBy;       // or its run is not begun
 
         Task(long id, Arrival arrival, Caller caller, Condition signal) {
             this.id = id;
@@ -220,6 +234,7 @@
     private volatile int most;
     private Pool pool;
     private Store store;
+    private Records records;        // null where no results are kept
     private Watcher watcher = good -> { };
     private Admission.Events module;
     private double clock;
@@ -258,6 +273,38 @@
         thread("timer", this::runTimers).start();
     }
 
+    /** From now on no keyed run begins before its intent is kept, and none is answered before its result is. */
+    public void record(Records kept) {
+        lock.lock();
+        try {
+            records = kept;
+            keys.record(kept.mostKeys());
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** What a dead process of this box left, or the one that handed over. */
+    public void recovered(Records.Recovered left) {
+        lock.lock();
+        try {
+            boolean all = true;
+            double latest = left.blindUntil();
+            for (Records.Remembered key : left.keys()) {
+                all &= keys.recover(key.key(), key.place(), key.lastDoor(), key.check(), key.until());
+                latest = Math.max(latest, key.until());
+            }
+            if (!all || left.blindUntil() > now()) {
+                // Guards against a second run of a key that is on disk and not known: none of those runs for a window.
+                Logger.warn("keys may be on disk that are not known here: unknown ones fail for {} s",
+                        Math.round(latest - now()));
+                keys.blind(latest);
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** A platform thread with a small stack that does not keep the process alive. */
     public static Thread thread(String name, Runnable body) {
         Thread thread = new Thread(null, body, name, STACK);
@@ -410,6 +457,7 @@
         }
         for (Step step = next(task); step != null; step = next(task)) {
             switch (step.kind()) {
+                case INTEND -> intend(task);
                 case SPAWN -> {
                     counters.add(Count.RUNS);
                     tellOther(task);
@@ -423,6 +471,7 @@
                 case PASS -> pool.pass(arrival.ref(), (long) step.until());
                 case SUSPEND -> pool.suspend(arrival.ref());
                 case ABANDON -> abandonCall(task);
+                case REPLAY -> replay(task);
                 case ANSWER -> task.caller.answer(step.answer());
             }
         }
@@ -470,6 +519,14 @@
                 answer(task, Answer.conflict());
                 return;
             }
+            Records.Refusal why = task.key == null || repeat || records == null || !owner ? null
+                    : keys.size() >= records.mostKeys() ? Records.Refusal.KEYS_FULL : records.refusal();
+            if (why != null) {
+                // Guards against holding what could not be recorded when its turn comes.
+                counters.add(Count.GUARDED);
+                answer(task, unrecorded(why));
+                return;
+            }
             task.entry = prior;
             module.arrived(now, new Admission.Request(task.id, false, lay, a.classIndex(), a.tenantIndex(),
                     a.heldKb(), a.caller(), 0, a.subject(),
@@ -502,6 +559,13 @@
                     return null;
                 }
                 double wait = task.backstop - now();
+                if (recording(task)) {
+                    wait = Math.min(wait, task.recordBy - now());
+                    if (now() >= task.recordBy) {
+                        neverBegun(task, Records.Refusal.DISK_STALLED);
+                        continue;
+                    }
+                }
                 if (wait <= 0 && task.answered) {
                     Logger.warn("no word of run {}, given up", task.arrival.ref());
                     tellRunOver(task, Outcome.BROKEN, now() - task.since, null);
@@ -712,14 +776,20 @@
         if (task.call != null) {
             step(task, Step.of(Kind.ABANDON));
         }
+        boolean waits = false;
         if (task.entry != null && task.entry.holder() == task) {
             if (outcome == Outcome.VOID) {
+                if (records != null && task.entry.state() == KeyState.RUNNING) {
+                    voided(task.entry);
+                }
                 keys.neverRan(task.entry);
             } else {
-                finish(task.entry, outcome == Outcome.SUCCESS ? result : null);
+                waits = finish(task.entry, outcome == Outcome.SUCCESS ? result : null);
             }
         }
-        answer(task, outcome == Outcome.SUCCESS ? Answer.served(result) : Answer.failed());
+        if (!waits) {
+            answer(task, outcome == Outcome.SUCCESS ? Answer.served(result) : Answer.failed());
+        }
         task.signal.signal();
         double now = now();
         module.ended(now, task.id, outcome, elapsed);
@@ -812,12 +882,139 @@
 
     // ---- Keys ----
 
-    /** A run of this key is over; the result is null unless it ended well. */
-    private void finish(KeyTable.Entry<Task> entry, byte[] result) {
+    /** A run of this key is over; the result is null unless it ended well. True where its answer waits for the disk. */
+    private boolean finish(KeyTable.Entry<Task> entry, byte[] result) {
         if (other != null && entry.holder() != null && keys.current(entry)) {
             other.ended(entry.key(), result);
         }
+        boolean ran = entry.state() == KeyState.RUNNING || entry.state() == KeyState.ELSEWHERE;
         keys.ran(entry, result);
+        if (records != null && owner && ran) {
+            save(entry, result);
+        }
+        return entry.state() == KeyState.SAVING;
+    }
+
+    // ---- Intents and results on disk ----
+
+    private Records.Keyed keyed(KeyTable.Entry<Task> entry) {
+        String key = entry.key();
+        double window = window(Integer.parseInt(key.substring(0, key.indexOf('/')))) + KeyTable.SLACK;   // class leads
+        return new Records.Keyed(key, entry.lastDoor(), window, entry.asked().brief());
+    }
+
+    private boolean recording(Task task) {
+        return task.entry != null && task.entry.holder() == task && task.entry.state() == KeyState.RECORDING;
+    }
+
+    private Answer unrecorded(Records.Refusal why) {
+        return Answer.refused(Math.min(settings.maxRetryAfter(), records.again(why)), false);
+    }
+
+    /** Has the intent of a run written; word of that is its next step, or its refusal. */
+    private void intend(Task task) {
+        lock.lock();
+        try {
+            if (!recording(task)) {
+                return;
+            }
+            if (!owner && other != null) {
+                // The other process writes: its word comes by recordedElsewhere.
+                task.recordBy = now() + 2 * records.patience();
+                other.intend(task.key, task.arrival.door(), task.arrival.body());
+                return;
+            }
+            task.recordBy = now() + records.patience();
+            task.intent = records.intend(keyed(task.entry), place -> intended(task, place >= 0));
+            if (task.intent == null) {
+                Records.Refusal why = records.refusal();
+                neverBegun(task, why == null ? Records.Refusal.STORE_FULL : why);
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void intended(Task task, boolean written) {
+        lock.lock();
+        try {
+            if (!recording(task)) {
+                return;   // withdrawn meanwhile
+            }
+            if (!written) {
+                neverBegun(task, Records.Refusal.DISK_FAILED);
+            } else if (task.answered) {
+                // Nobody waits any more, and nothing ran: a further try may.
+                neverBegun(task, null);
+            } else {
+                keys.recorded(task.entry);
+                step(task, Step.of(Kind.SPAWN));
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** A run that was decided is not begun, and its key is free again. */
+    private void neverBegun(Task task, Records.Refusal why) {
+        if (task.intent != null) {
+            records.withdraw(task.intent, keyed(task.entry));
+        }
+        if (why != null) {
+            counters.add(Count.GUARDED);
+            answer(task, unrecorded(why));
+        }
+        task.steps.removeIf(step -> step.kind() == Kind.INTEND || step.kind() == Kind.SUSPEND);
+        tellRunOver(task, Outcome.VOID, 0, null);
+    }
+
+    private void voided(KeyTable.Entry<Task> entry) {
+        if (owner) {
+            records.voided(keyed(entry));
+        }
+    }
+
+    private void save(KeyTable.Entry<Task> entry, byte[] result) {
+        records.ended(keyed(entry), result, place -> saved(entry, place));
+    }
+
+    /** A result is on disk, or with a place below 0 cannot be: its intent is, so it never runs again, and is answered. */
+    private void saved(KeyTable.Entry<Task> entry, long place) {
+        lock.lock();
+        try {
+            if (entry.state() != KeyState.SAVING) {
+                return;
+            }
+            keys.saved(entry, place);
+            if (entry.holder() != null) {
+                answer(entry.holder(), Answer.served(entry.result()));
+                if (other != null && !owner) {
+                    other.ended(entry.key(), entry.result());   // it was on its way when the keys were handed over
+                }
+            } else if (other != null) {
+                other.saved(entry.key());
+            }
+            settleIfUp();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** The result of a settled key goes out again, byte for byte. */
+    private void replay(Task task) {
+        byte[] result = null;
+        try {
+            result = records.read(task.key, task.entry.place());
+        } catch (IOException e) {
+            Logger.error("a kept result cannot be read: {}", e.toString());
+        }
+        lock.lock();
+        try {
+            endWith(task, result);
+            settleIfUp();
+        } finally {
+            lock.unlock();
+        }
     }
 
     private void endsWith(Task rider, KeyTable.Entry<Task> entry) {
@@ -826,10 +1023,18 @@
 
     /** An attached try ends as the one it repeats did. */
     private void endAttached(Task task, KeyTable.Entry<Task> entry) {
+        if (!task.answered && entry != null && entry.state() == KeyState.SERVED && entry.result() == null) {
+            task.entry = entry;
+            step(task, Step.of(Kind.REPLAY));   // it lies on disk: no reading here, under the lock
+            return;
+        }
+        endWith(task, entry == null ? null : entry.result());
+    }
+
+    private void endWith(Task task, byte[] result) {
         if (task.answered) {
             return;
         }
-        byte[] result = entry == null ? null : entry.result();
         if (result != null) {
             counters.add(Count.REPLAYED);
         }
@@ -897,6 +1102,10 @@
             other = null;
             owner = true;
             keys.otherGone();
+            if (records != null) {
+                // What the other process was to write is written here.
+                keys.unsaved().forEach(entry -> save(entry, entry.result()));
+            }
             asking.forEach(task -> task.signal.signal());
             share(1);
         } finally {
@@ -956,6 +1165,9 @@
         try {
             KeyTable.Entry<Task> entry = keys.find(key);
             if (keys.elsewhere(entry)) {
+                if (records != null) {
+                    voided(entry);
+                }
                 keys.freed(entry);
                 settleIfUp();
             }
@@ -967,21 +1179,80 @@
     /** The other process asks for a key: it is told what is known of it, or has it in hand from now on. */
     public void claimed(String key, long door, byte[] body) {
         double window = window(Integer.parseInt(key.substring(0, key.indexOf('/')))) + KeyTable.SLACK;   // class leads
+        KeyTable.Entry<Task> entry;
+        Other asks;
         lock.lock();
         try {
-            if (other == null) {
+            asks = other;
+            entry = keys.meet(key, door);
+            if (asks == null) {
+                return;
+            }
+            if (entry == null || keys.elsewhere(entry)) {
+                if (entry == null) {
+                    keys.hear(key, KeyTable.Asked.of(body), door + Math.round(window * 1000),
+                            now() + window + KeyTable.LINGER);
+                }
+                asks.granted(key);
                 return;
             }
-            KeyTable.Entry<Task> entry = keys.meet(key, door);
-            if (entry != null && !keys.elsewhere(entry)) {
-                other.tell(kept(entry));
+            if (entry.asked().body() != null) {
+                asks.tell(kept(entry));
                 return;
             }
-            if (entry == null) {
-                keys.hear(key, KeyTable.Asked.of(body), door + Math.round(window * 1000),
-                        now() + window + KeyTable.LINGER);
+        } finally {
+            lock.unlock();
+        }
+        // A settled key: its result is read from disk, so not under the lock.
+        byte[] result = null;
+        try {
+            result = entry.place() < 0 ? null : records.read(key, entry.place());
+        } catch (IOException e) {
+            Logger.error("a kept result cannot be read: {}", e.toString());
+        }
+        byte[] asked = entry.asked().same(body) ? body : Arrays.copyOf(body, body.length + 1);
+        asks.tell(new Kept(key, true, entry.lastDoor(), window + KeyTable.LINGER, asked, result));
+    }
+
+    /** The other process is about to run a key that it has in hand: its intent is written here. */
+    public void intendElsewhere(String key, long door, byte[] body) {
+        lock.lock();
+        try {
+            Other asks = other;
+            KeyTable.Entry<Task> entry = keys.find(key);
+            if (asks == null) {
+                return;
+            }
+            boolean asked = records != null && keys.elsewhere(entry)
+                    && records.intend(keyed(entry), place -> asks.intended(key, place >= 0)) != null;
+            if (!asked) {
+                asks.intended(key, false);
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    public void intentElsewhere(String key, boolean written) {
+        lock.lock();
+        try {
+            KeyTable.Entry<Task> entry = keys.find(key);
+            if (entry != null && entry.holder() != null) {
+                intended(entry.holder(), written);
+                settleIfUp();
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    public void savedElsewhere(String key) {
+        lock.lock();
+        try {
+            KeyTable.Entry<Task> entry = keys.find(key);
+            if (entry != null) {
+                saved(entry, -1);
             }
-            other.granted(key);
         } finally {
             lock.unlock();
         }
@@ -1085,7 +1356,7 @@
             }
         }
         task.spawned = true;
-        step(task, Step.of(Kind.SPAWN));
+        step(task, Step.of(recording(task) ? Kind.INTEND : Kind.SPAWN));
     }
 
     @Override
@@ -1112,7 +1383,13 @@
     @Override
     public void stop(long id) {
         Task task = byId.get(id);
-        if (task != null && task.spawned && !task.runOver) {
+        if (task != null && recording(task)) {
+            pending.add(() -> {
+                if (recording(task)) {
+                    neverBegun(task, null);
+                }
+            });
+        } else if (task != null && task.spawned && !task.runOver) {
             step(task, Step.of(Kind.SUSPEND));
         }
     }
--- /dev/null
+++ b/src/main/java/wharftrestle/durable/Recovery.java
@@ -0,0 +1,82 @@
+package wharftrestle.durable;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import wharftrestle.keys.KeyTable;
+
+/**
+ * What the records of a dead process mean. Result known: repeats get it. Intent without a result: its end is unknown,
+ * whatever the worker pool may still be doing of it, so tries in the window fail and never run. Neither: the key may
+ * run. It must never trust a clock that can step: see {@link #until}.
+ *
+ * <pre>
+ * last records of a key       after recovery
+ * INTENT                      unknown
+ * INTENT RESULT               known
+ * RESULT                      known       (its intent lies in a segment that is gone)
+ * INTENT FAILED, FAILED       unknown     (it ran, and there is no result to give)
+ * INTENT VOID, VOID           nothing
+ * </pre>
+ */
+public final class Recovery {
+    /** Seconds kept beyond a window, as of the keys in memory. */
+    static final double LINGER = KeyTable.LINGER;
+
+    /**
+     * What is known of one key.
+     *
+     * @param place of its result; -1 where its end is unknown
+     */
+    public record Known(String key, long place, long lastDoor, int window, long check) { }
+
+    private final Map<String, Known> keys = new LinkedHashMap<>();
+    private final long wallNow;
+    private final long steadyNow;
+    private int over;
+
+    /** @param wallNow Unix ms; steadyNow ms on the machine's steady clock */
+    public Recovery(long wallNow, long steadyNow) {
+        this.wallNow = wallNow;
+        this.steadyNow = steadyNow;
+    }
+
+    /** Takes the next record of the log, which lies there; same boot where its steady clock is the present one. */
+    public void take(Record record, long place, boolean sameBoot) {
+        keys.remove(record.key());
+        if (record.kind() == Record.Kind.VOID) {
+            return;
+        }
+        if (sameBoot && steadyNow - record.steady() > record.window() + LINGER * 1000) {
+            over++;   // a process that dies again and again must not carry it for ever
+            return;
+        }
+        boolean known = record.kind() == Record.Kind.RESULT;
+        // Stamps are of a clock that may have stepped meanwhile: any try read within a window from now is covered.
+        keys.put(record.key(), new Known(record.key(), known ? place : -1,
+                Math.max(record.lastDoor(), wallNow + record.window()), record.window(), record.check()));
+    }
+
+    /** Seconds on a clock that is now at {@code now} until a key is forgotten: one window and a linger, from now. */
+    public static double until(Known known, double now) {
+        return now + known.window() / 1000.0 + LINGER;
+    }
+
+    public Iterable<Known> keys() {
+        return keys.values();
+    }
+
+    /** Keys with a result. */
+    public int known() {
+        return (int) keys.values().stream().filter(key -> key.place() >= 0).count();
+    }
+
+    /** Keys whose end is unknown. */
+    public int unknown() {
+        return keys.size() - known();
+    }
+
+    /** Records left out as their time was over. */
+    public int over() {
+        return over;
+    }
+}
--- a/src/main/java/wharftrestle/keys/KeyTable.java
+++ b/src/main/java/wharftrestle/keys/KeyTable.java
@@ -31,13 +31,16 @@
 
     /** What a key was asked: its body, or where that is not kept any more what stands for it. */
     public record Asked(byte[] body, long check) {
+        /** Of a key that may have been known before a disk lost it: no try of it is told apart. */
+        private static final Asked ANY = new Asked(null, 0);
+
         public static Asked of(byte[] body) {
             return new Asked(body, 0);
         }
 
         /** True where a try with this body asks the same. */
         public boolean same(byte[] other) {
-            return body != null ? Arrays.equals(body, other) : check == Digest.check(other);
+            return this == ANY || (body != null ? Arrays.equals(body, other) : check == Digest.check(other));
         }
 
         /** What stands for it in 64 bits. */
@@ -130,6 +133,8 @@
     private final TimingWheel wheel = new TimingWheel(TICK, SLOTS);
     private final Ends<T> ends;
     private CompactIndex settled;   // null where nothing is kept on disk
+    private double blindUntil = Double.NEGATIVE_INFINITY;
+    private boolean blind;
     private int[] free = new int[16];
     private int frees;
 
@@ -156,8 +161,24 @@
         return settled == null ? 0 : settled.bytes();
     }
 
+    /** Until then no key that is not known may run, as what was known of it may be lost: its tries fail. */
+    public void blind(double until) {
+        blindUntil = Math.max(blindUntil, until);
+        blind = true;
+    }
+
     /** What is known of this key; null for nothing. A settled one comes as an entry of its own each time. */
     public Entry<T> find(String key) {
+        Entry<T> entry = known(key);
+        if (entry == null && blind) {
+            entry = new Entry<>(key, Asked.ANY, -1);
+            entry.step(Step.RECOVER_INTENT);
+            entry.lastDoor = Long.MAX_VALUE;
+        }
+        return entry;
+    }
+
+    private Entry<T> known(String key) {
         Entry<T> entry = open.get(key);
         if (entry != null || settled == null) {
             return entry;
@@ -210,7 +231,7 @@
 
     /**
      * A run was decided. Where results are kept its intent must be on disk before it is spawned ({@link #recorded}
-     * or {@link #neverRan} follow). An entry of another holder, or a settled one, comes back where a try of this
+     * or {@link #neverRan} follow). The entry of another holder, or a settled one, comes back where a try of this
      * window ran already: then this one may not, and joins it.
      *
      * @param window seconds from the try's stamp
@@ -279,6 +300,11 @@
         settle(entry, place);
     }
 
+    /** Entries whose result is on its way to the disk. */
+    public List<Entry<T>> unsaved() {
+        return open.values().stream().filter(entry -> entry.state == KeyState.SAVING).toList();
+    }
+
     /** Moves an ended entry's bytes out of memory, where its result lies on disk and there is room to know it. */
     private void settle(Entry<T> entry, long place) {
         if (place != CompactIndex.NO_PLACE && settled != null && current(entry)
@@ -317,6 +343,7 @@
 
     /** Forgets whose time is over. */
     public void expire(double now) {
+        blind &= now < blindUntil;
         wheel.advance(now, row -> {
             Entry<T> entry = rows.get(row);
             open.remove(entry.key, entry);
@@ -336,7 +363,7 @@
      * @param until    on the caller's clock
      */
     public Entry<T> hear(String key, Asked asked, long lastDoor, double until) {
-        Entry<T> known = find(key);
+        Entry<T> known = known(key);
         if (known != null && !(known.over() && known.lastDoor < lastDoor)) {
             return null;
         }
@@ -379,9 +406,8 @@
      * @param place of the result, or {@link CompactIndex#NO_PLACE} where its end is unknown
      * @return false where there is no room to know it
      */
-    public boolean recover(Digest key, String text, long place, long lastDoor, long check, double until) {
-        Entry<T> known = open.get(text);
-        return known != null && known.covers(lastDoor) || settled.put(key, place, lastDoor, check, until);
+    public boolean recover(String key, long place, long lastDoor, long check, double until) {
+        return open.containsKey(key) || settled.put(Digest.of(key), place, lastDoor, check, until);
     }
 
     // ---- Entries and their rows on the wheel ----
--- a/src/main/java/wharftrestle/net/Upgrade.java
+++ b/src/main/java/wharftrestle/net/Upgrade.java
@@ -162,12 +162,21 @@
                 core.endedElsewhere(key(words[1]), words[2].equals("-") ? null : body(in, words[2]));
             }
             case "freed" -> core.freedElsewhere(key(words[1]));
+            case "intend" -> {
+                need(words, 4);
+                core.intendElsewhere(key(words[1]), Long.parseLong(words[2]), body(in, words[3]));
+            }
+            case "intended" -> {
+                need(words, 3);
+                core.intentElsewhere(key(words[1]), words[2].equals("yes"));
+            }
+            case "saved" -> core.savedElsewhere(key(words[1]));
             default -> throw new Server.MalformedException("the other process says '" + words[0] + "'");
         }
     }
 
     private static void need(String[] words, int least) throws IOException {
-        boolean keyed = words[0].matches("key|claim|granted|ended|freed");
+        boolean keyed = words[0].matches("key|claim|granted|ended|freed|intend|intended|saved");
         if (words.length < (keyed ? Math.max(2, least) : least)) {
             throw new Server.MalformedException("too short a word of the other process");
         }
@@ -270,6 +279,21 @@
         say("freed " + word(key));
     }
 
+    @Override
+    public void intend(String key, long door, byte[] body) {
+        say("intend " + word(key) + " " + door + " " + body.length, body);
+    }
+
+    @Override
+    public void intended(String key, boolean written) {
+        say("intended " + word(key) + (written ? " yes" : " no"));
+    }
+
+    @Override
+    public void saved(String key) {
+        say("saved " + word(key));
+    }
+
     @Override
     public void close() {
         synchronized (words) {
--- a/src/test/java/wharftrestle/BordersTest.java
+++ b/src/test/java/wharftrestle/BordersTest.java
@@ -22,6 +22,17 @@
             .should().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
             .orShould().callMethod(Thread.class, "sleep", long.class);
 
+    @ArchTest
+    static final ArchRule onlyTheJournalMeetsTheDisk = noClasses().that().resideInAPackage("wharftrestle.durable..")
+            .and().haveNameNotMatching(".*\\.(Journal|FileDisk|Disk|UnusableException|Results.*)(\\$.*)?")
+            .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.nio.channels..", "java.nio.file..",
+                    "java.util.concurrent..", "org.tinylog..", "wharftrestle.net..", "wharftrestle.core..");
+
+    @ArchTest
+    static final ArchRule theCoreKnowsNoDisk = noClasses().that().resideInAPackage("wharftrestle.core..")
+            .should().dependOnClassesThat().resideInAnyPackage("wharftrestle.durable..", "wharftrestle.settings..",
+                    "java.nio.file..", "java.nio.channels..", "java.net..");
+
     @ArchTest
     static final ArchRule thePolicyKnowsNobody = noClasses().that().resideInAPackage("wharftrestle.policy..")
             .should().dependOnClassesThat().resideInAnyPackage("wharftrestle.core..", "wharftrestle.net..",
--- a/src/test/java/wharftrestle/keys/KeyTableTest.java
+++ b/src/test/java/wharftrestle/keys/KeyTableTest.java
@@ -96,8 +96,8 @@
     @Example
     void whatADeadProcessLeftNeverRunsInItsWindow() {
         keys.record(10);
-        assertTrue(keys.recover(Digest.of("known"), "known", 5, 30_000, Digest.check(BODY), 50));
-        assertTrue(keys.recover(Digest.of("open"), "open", CompactIndex.NO_PLACE, 30_000, Digest.check(BODY), 50));
+        assertTrue(keys.recover("known", 5, 30_000, Digest.check(BODY), 50));
+        assertTrue(keys.recover("open", CompactIndex.NO_PLACE, 30_000, Digest.check(BODY), 50));
         assertEquals(KeyState.SERVED, keys.meet("known", 29_999).state());
         assertEquals(KeyState.UNKNOWN, keys.meet("open", 29_999).state());
         assertFalse(keys.ride(keys.meet("open", 29_999), "x"), "over: it fails at once");
