Prove that nothing runs twice over kills, and show kept results at the door, in the MIB and offline

Need: the log's promise must be seen to hold at a real process, by a count that is not its own, and operators must see it.

Change: make prove-results kills a daemon at drawn moments while eight desks repeat keyed requests; a stand-in pool that outlives it counts runs; the same without the store must find double runs. Seen by it: a repeat read before the worker pool was up failed though its result was known, and was refused where its end was not; both mended in the core. Folders are compacted at the start and by 'results compact', so that 40 starts one after another do not fill 4 MB.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Shortcuts; 'mvn -B verify' is what counts.
-.PHONY: build test lint run
+.PHONY: build test lint run prove-results bench-results measure-candidates
 
 build:
 	mvn -q -B -DskipTests package
@@ -13,3 +13,27 @@
 # Needs EDGE_CONFIG, and EDGE_NAME and EDGE_LISTEN where the file does not name them.
 run: build
 	$(shell sed -n 's/^run = "\(.*\)"$$/\1/p' deploy/balancer.toml)
+
+# What the proofs and benchmarks run on: the tests' classes before the program's.
+target/classpath: pom.xml
+	mvn -q -B dependency:build-classpath -Dmdep.outputFile=$@ -Dmdep.includeScope=test
+
+CLASSES = target/test-classes:target/classes:$$(cat target/classpath)
+
+# Kills a real daemon at moments drawn from a seed (SEED=N; SHORT=1 for the brief form); closes on one line, exit 0 or 1.
+prove-results: build target/classpath
+	java -cp $(CLASSES) wharftrestle.prove.ProveResults $(SEED)
+
+# Figures of docs/results.md: the structures of keys by JMH, then the cost of kept results at a real daemon.
+bench-results: build target/classpath
+	java -cp $(CLASSES) wharftrestle.bench.KeyStructures
+	java -cp $(CLASSES) org.openjdk.jmh.Main KeyStructures
+	java -cp $(CLASSES) wharftrestle.prove.BenchResults
+
+# The stores that docs/design/results.md weighs, each in a process of its own.
+measure-candidates:
+	mvn -q -B -f bench/candidates/pom.xml package
+	for store in log mvstore rocksdb; do \
+	  rm -rf target/candidate && java -XX:+UseSerialGC -Xmx40m -XX:TieredStopAtLevel=1 \
+	    -cp bench/candidates/target/classes:$$(cat bench/candidates/target/classpath) \
+	    Candidates $$store target/candidate 24 6000; done
--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.locks.LockSupport;
 import org.tinylog.Logger;
@@ -22,6 +23,7 @@
 import wharftrestle.net.Upgrade;
 import wharftrestle.ops.Counters;
 import wharftrestle.ops.Door;
+import wharftrestle.ops.ResultFigure;
 import wharftrestle.ops.SnmpAgent;
 import wharftrestle.policy.Admission;
 import wharftrestle.policy.GroupEdfScheduler;
@@ -403,6 +405,11 @@
         return counters;
     }
 
+    @Override
+    public Map<ResultFigure, Long> results() {
+        return core.results();
+    }
+
     /** Where the platform's front listens. */
     public InetSocketAddress respAddress() {
         return resp.address();
--- a/src/main/java/wharftrestle/Main.java
+++ b/src/main/java/wharftrestle/Main.java
@@ -10,6 +10,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import sun.misc.Signal;
+import wharftrestle.durable.ResultsFolder;
 import wharftrestle.durable.UnusableException;
 import wharftrestle.net.Config;
 import wharftrestle.ops.Console;
@@ -25,7 +26,7 @@
 @Command(name = "wharftrestle", mixinStandardHelpOptions = true,
         description = "Admission and overload control for one script server",
         subcommands = {Main.Serve.class, Main.Adapter.class, Main.Attach.class, Main.Rehearse.class,
-            Main.SettingsOf.class, Main.Version.class})
+            Main.SettingsOf.class, Main.Results.class, Main.Version.class})
 public final class Main implements Runnable {
     private static final int BAD_USE = 2;
 
@@ -61,7 +62,7 @@
     @Override
     public void run() {
         throw new CommandLine.ParameterException(spec.commandLine(),
-                "name a command: serve, console, settings, adapter or version");
+                "name a command: serve, console, settings, results, adapter or version");
     }
 
     /** The daemon. */
@@ -182,6 +183,110 @@
         }
     }
 
+    /** Results kept over restarts, while no daemon has them. */
+    @Command(name = "results", description = "a folder of kept results, while no daemon has it",
+            subcommands = {Results.Ls.class, Results.Show.class, Results.Verify.class, Results.Compact.class,
+                Results.Export.class})
+    static final class Results implements Runnable {
+        @CommandLine.Spec
+        private CommandLine.Model.CommandSpec spec;
+
+        @Override
+        public void run() {
+            throw new CommandLine.ParameterException(spec.commandLine(),
+                    "name a command: results ls, show, verify, compact or export");
+        }
+
+        /** Opens the folder that is named, or that the settings name. */
+        abstract static class Folder implements Callable<Integer> {
+            @Option(names = "--dir", paramLabel = "DIR", description = "the folder")
+            private Path folder;
+
+            @Option(names = "--appliance", paramLabel = "FILE", description = "the operators' settings, for durable.dir")
+            private Path appliance;
+
+            abstract boolean act(ResultsFolder results) throws IOException;
+
+            @Override
+            public Integer call() throws Exception {
+                Path named = folder;
+                if (named == null && appliance != null) {
+                    Config.Durable durable = Settings.read(appliance).appliance().durable();
+                    named = durable == null ? null : durable.folder();
+                }
+                if (named == null) {
+                    throw new Config.BadConfigException("say which folder: --dir DIR, or --appliance FILE with durable");
+                }
+                try (ResultsFolder results = new ResultsFolder(named)) {
+                    return act(results) ? 0 : 1;
+                } catch (UnusableException e) {
+                    throw new Config.BadConfigException(e.getMessage());
+                }
+            }
+        }
+
+        /** Lists keys. */
+        @Command(name = "ls", description = "a line a key")
+        static final class Ls extends Folder {
+            @Option(names = "--all", description = "also keys whose time is over")
+            private boolean all;
+
+            @Override
+            boolean act(ResultsFolder results) throws IOException {
+                results.list(System.out, all);
+                return true;
+            }
+        }
+
+        /** Shows one key. */
+        @Command(name = "show", description = "all that is known of one key")
+        static final class Show extends Folder {
+            @CommandLine.Parameters(paramLabel = "KEY")
+            private String key;
+
+            @Override
+            boolean act(ResultsFolder results) throws IOException {
+                boolean found = results.show(System.out, key);
+                if (!found) {
+                    System.err.println("wharftrestle: nothing is known of " + key);
+                }
+                return found;
+            }
+        }
+
+        /** Reads every byte. */
+        @Command(name = "verify", description = "read every byte; exit 1 where something is lost")
+        static final class Verify extends Folder {
+            @Override
+            boolean act(ResultsFolder results) throws IOException {
+                return results.verify(System.out);
+            }
+        }
+
+        /** Takes less room. */
+        @Command(name = "compact", description = "keep what still matters in as few files as hold it")
+        static final class Compact extends Folder {
+            @Override
+            boolean act(ResultsFolder results) throws IOException {
+                results.compact(System.out);
+                return true;
+            }
+        }
+
+        /** Writes all. */
+        @Command(name = "export", description = "all keys whose time is not over")
+        static final class Export extends Folder {
+            @Option(names = "--json", required = true, description = "a JSON object a line")
+            private boolean json;
+
+            @Override
+            boolean act(ResultsFolder results) throws IOException {
+                results.export(System.out);
+                return true;
+            }
+        }
+    }
+
     /** What this is. */
     @Command(name = "version", description = "print the version")
     static final class Version implements Callable<Integer> {
--- a/src/main/java/wharftrestle/core/Core.java
+++ b/src/main/java/wharftrestle/core/Core.java
@@ -23,6 +23,7 @@
 import wharftrestle.ops.Counters;
 import wharftrestle.ops.Counters.Count;
 import wharftrestle.ops.Counters.Result;
+import wharftrestle.ops.ResultFigure;
 
 /**
  * Owns the requests in hand, the keys with their results, and the one lock that guards the decision module.
@@ -234,7 +235,8 @@
     private volatile int most;
     private Pool pool;
     private Store store;
-    private Records records;        // null where no results are kept
+    private volatile long indexBytes;
+    private volatile Records records;        // null where no results are kept
     private Watcher watcher = good -> { };
     private Admission.Events module;
     private double clock;
@@ -305,6 +307,17 @@
         }
     }
 
+    /** The figures of kept results; empty where none are kept. */
+    public Map<ResultFigure, Long> results() {
+        Records kept = records;
+        if (kept == null) {
+            return Map.of();
+        }
+        Map<ResultFigure, Long> all = kept.figures();
+        all.put(ResultFigure.INDEX_BYTES, indexBytes);
+        return all;
+    }
+
     /** A platform thread with a small stack that does not keep the process alive. */
     public static Thread thread(String name, Runnable body) {
         Thread thread = new Thread(null, body, name, STACK);
@@ -484,19 +497,27 @@
             if (task.answered) {
                 return;
             }
+            KeyTable.Entry<Task> known = task.key == null ? null : keys.find(task.key);
+            boolean ran = known != null && known.ran() || task.key != null && !owner;
             if (byId.size() >= most) {
                 // Guards against threads filling the memory in a flood: what finds none is turned away unread by
                 // the module, or failed where another try of it ran.
-                KeyTable.Entry<Task> entry = task.key == null ? null : keys.find(task.key);
-                boolean ran = entry != null && entry.ran() || task.key != null && !owner;
                 counters.add(Count.GUARDED);
                 answer(task, ran ? Answer.failed() : Answer.refused(settings.maxRetryAfter(), false));
                 return;
             }
+            if (module == null && known != null && known.state() == KeyState.SERVED
+                    && known.covers(task.arrival.door()) && known.asked().same(task.arrival.body())) {
+                // What a dead process answered needs no worker pool to be given again.
+                task.backstop = due(task.arrival, now());
+                endAttached(task, known);
+                return;
+            }
             if (module == null || byRef.containsKey(task.arrival.ref())) {
-                // Before the worker pool is up nothing can run; a reference in use would be taken for its run.
+                // Before the worker pool is up nothing can run; a reference in use would be taken for its run. Guards
+                // against refusing what a dead process ran.
                 counters.add(Count.GUARDED);
-                answer(task, module == null ? Answer.refused(settings.maxRetryAfter(), false) : Answer.failed());
+                answer(task, module == null && !ran ? Answer.refused(settings.maxRetryAfter(), false) : Answer.failed());
                 return;
             }
             double now = now();
@@ -573,8 +594,10 @@
                     // Guards against a late answer should the module or its timer be held up.
                     counters.add(Count.BACKSTOPS);
                     answer(task, Answer.late());
-                    module.callerLeft(now(), task.id);
-                    settle(now());
+                    if (byId.containsKey(task.id)) {
+                        module.callerLeft(now(), task.id);
+                        settle(now());
+                    }
                 } else {
                     task.signal.awaitNanos((long) (wait * 1e9) + 1);
                 }
@@ -1039,8 +1062,10 @@
             counters.add(Count.REPLAYED);
         }
         answer(task, result != null ? Answer.served(result) : Answer.failed());
-        double now = now();
-        module.ended(now, task.id, result != null ? Outcome.SUCCESS : Outcome.FAILURE, now - task.since);
+        if (module != null && byId.containsKey(task.id)) {
+            double now = now();
+            module.ended(now, task.id, result != null ? Outcome.SUCCESS : Outcome.FAILURE, now - task.since);
+        }
     }
 
     private void join(Task task) {
@@ -1058,6 +1083,7 @@
         }
         keysSwept = now;
         keys.expire(now);
+        indexBytes = keys.settledBytes();
         counters.kept(keys.size());
     }
 
--- a/src/main/java/wharftrestle/core/Records.java
+++ b/src/main/java/wharftrestle/core/Records.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import wharftrestle.ops.ResultFigure;
 
 /**
  * Where intents and results of keyed runs are kept, as the core sees it. None of these waits for the disk but {@link
@@ -86,6 +87,6 @@
     /** The result that lies there; never under a lock. */
     byte[] read(String key, long place) throws IOException;
 
-    /** Figures by name, in the order in which they are shown. */
-    Map<String, Long> figures();
+    /** All figures but the index, which the core knows. */
+    Map<ResultFigure, Long> figures();
 }
--- a/src/main/java/wharftrestle/durable/Journal.java
+++ b/src/main/java/wharftrestle/durable/Journal.java
@@ -4,10 +4,9 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicLongArray;
@@ -16,6 +15,7 @@
 import wharftrestle.core.Core;
 import wharftrestle.core.Records;
 import wharftrestle.net.Config;
+import wharftrestle.ops.ResultFigure;
 
 /**
  * Carries intents and results to the disk: one thread takes all that waits, writes it as one batch, syncs once, and
@@ -73,9 +73,9 @@
     private final Opener opener;
     private final Room room;                       // also the lock of what stands below it
     private final Map<String, Integer> promises = new HashMap<>();
-    private Gather<Ticket> gather;
+    private volatile Gather<Ticket> gather;
     private volatile State state = State.SHUT;
-    private Disk disk;
+    private volatile Disk disk;
     private Thread writer;
     private int batch;
     private volatile long batchBegan;              // System.nanoTime; 0 while nothing is written
@@ -121,10 +121,20 @@
         Disk opened = opener.open();
         try {
             Records.Recovered recovered = recover(opened, longest);
+            if (!damaged && Compaction.worthWhile(room) && Compaction.run(opened, room.segment(), room.files())) {
+                recovered = recover(opened, longest);   // so that starts one after another do not fill the folder
+            }
             disk = opened;
             gather = new Gather<>(settings.queue());
-            begin();
-            state = State.OPEN;
+            if (mayGrow()) {
+                begin();
+                state = State.OPEN;
+            } else {
+                // Guards against a start that ends for want of room: old files go soon, then one is begun.
+                failedAt = System.nanoTime();
+                state = State.FAILED;
+                Logger.warn("kept results: no room in {}, keyed requests are refused", settings.folder());
+            }
             writer = Core.thread("results", this::write);
             writer.start();
             recoveryMs = (System.nanoTime() - began) / 1e6;
@@ -168,8 +178,9 @@
                 same[0] = head != null && head.boot() == boot && boot != 0;
                 double[] until = {Double.NEGATIVE_INFINITY};
                 Segment.Seen seen = Segment.scan(bytes, (record, offset) -> {
-                    recovery.take(record, place(number, offset), same[0]);
-                    until[0] = Math.max(until[0], now + record.window() / 1000.0 + Recovery.LINGER);
+                    if (recovery.take(record, place(number, offset), same[0])) {
+                        until[0] = Math.max(until[0], now + record.window() / 1000.0 + Recovery.LINGER);
+                    }
                 });
                 hurt |= seen.damaged() || seen.torn() && i < files.length - 1;
                 batch = Math.max(batch, seen.lastBatch() + 1);
@@ -199,14 +210,12 @@
 
     /** Begins a further file: made and listed before anything in it counts. */
     private void begin() throws IOException {
+        if (!mayGrow()) {
+            throw new IOException("no room for a further file");
+        }
         long number;
-        boolean grow;
         synchronized (room) {
             number = room.current() + 1;
-            grow = room.mayGrow();
-        }
-        if (!grow) {
-            throw new IOException("no room for a further file");
         }
         number = Math.max(number, ghosts.isEmpty() ? 0 : ghosts.last() + 1);
         disk.create(number, Segment.head(batch + 1, number, disk.boot(), room.segment()), room.segment());
@@ -216,6 +225,12 @@
         list();
     }
 
+    private boolean mayGrow() {
+        synchronized (room) {
+            return room.mayGrow();
+        }
+    }
+
     private void list() throws IOException {
         TreeSet<Long> all = new TreeSet<>(ghosts);
         synchronized (room) {
@@ -413,11 +428,7 @@
                 flush(from);
                 from = -1;
                 sync();
-                boolean grows;
-                synchronized (room) {
-                    grows = room.mayGrow();
-                }
-                if (!grows) {
+                if (!mayGrow()) {
                     places[i] = -1;   // longer than was promised, and no room: it stays in memory alone
                     continue;
                 }
@@ -473,19 +484,6 @@
     }
 
     private void tidy() {
-        if (state == State.FAILED && System.nanoTime() - failedAt > AGAIN_MS * 1_000_000) {
-            try {
-                batch += 2;
-                begin();
-                state = State.OPEN;
-                Logger.info("kept results: the disk takes records again");
-            } catch (IOException e) {
-                fail(e);
-            }
-        }
-        if (state != State.OPEN) {
-            return;
-        }
         try {
             if (!ghosts.isEmpty() && seconds() > ghostsUntil) {
                 ghosts.clear();
@@ -498,8 +496,16 @@
                 list();
                 disk.delete(over);
             }
+            if (state == State.FAILED && System.nanoTime() - failedAt > AGAIN_MS * 1_000_000) {
+                batch += 2;
+                begin();
+                state = State.OPEN;
+                Logger.info("kept results: the disk takes records again");
+            }
         } catch (IOException e) {
-            fail(e);
+            if (state == State.OPEN || System.nanoTime() - failedAt > AGAIN_MS * 1_000_000) {
+                fail(e);
+            }
         }
     }
 
@@ -535,33 +541,33 @@
         return state;
     }
 
-    /** All figures by name, in the order in which they are shown; times in microseconds. */
     @Override
-    public Map<String, Long> figures() {
-        Map<String, Long> all = new LinkedHashMap<>();
-        all.put("state", (long) state.ordinal() + 1);
-        all.put("records", records);
+    public Map<ResultFigure, Long> figures() {
+        Map<ResultFigure, Long> all = new EnumMap<>(ResultFigure.class);
+        all.put(ResultFigure.STATE, state.ordinal() + 1L);
+        all.put(ResultFigure.RECORDS, records);
         synchronized (room) {
-            all.put("bytes", room.bytes());
-            all.put("used", room.used());
-            all.put("promised", room.promised());
-            all.put("files", (long) room.segments());
+            all.put(ResultFigure.KB, room.bytes() >> 10);
+            all.put(ResultFigure.USED_KB, room.used() >> 10);
+            all.put(ResultFigure.PROMISED_KB, room.promised() >> 10);
+            all.put(ResultFigure.FILES, (long) room.segments());
         }
-        all.put("waiting", gather == null ? 0 : gather.bytes());
+        Gather<Ticket> waiting = gather;
+        all.put(ResultFigure.WAITING_BYTES, waiting == null ? 0 : waiting.bytes());
         synchronized (syncs) {
-            all.put("syncs", syncs.getTotalCount());
-            all.put("sync_p50_us", syncs.getValueAtPercentile(50));
-            all.put("sync_p99_us", syncs.getValueAtPercentile(99));
-            all.put("sync_max_us", syncs.getMaxValue());
-        }
-        all.put("recovered_known", (long) recoveredKnown);
-        all.put("recovered_unknown", (long) recoveredUnknown);
-        all.put("recovery_us", (long) (recoveryMs * 1000));
-        all.put("damaged", damaged ? 1L : 0L);
-        all.put("errors", errors);
-        all.put("unsaved", unsaved);
+            all.put(ResultFigure.SYNCS, syncs.getTotalCount());
+            all.put(ResultFigure.SYNC_P50_US, syncs.getValueAtPercentile(50));
+            all.put(ResultFigure.SYNC_P99_US, syncs.getValueAtPercentile(99));
+            all.put(ResultFigure.SYNC_MAX_US, syncs.getMaxValue());
+        }
+        all.put(ResultFigure.RECOVERED_KNOWN, (long) recoveredKnown);
+        all.put(ResultFigure.RECOVERED_UNKNOWN, (long) recoveredUnknown);
+        all.put(ResultFigure.RECOVERY_US, (long) (recoveryMs * 1000));
+        all.put(ResultFigure.DAMAGED, damaged ? 1L : 0L);
+        all.put(ResultFigure.ERRORS, errors);
+        all.put(ResultFigure.UNSAVED, unsaved);
         for (Records.Refusal why : Records.Refusal.values()) {
-            all.put("refused_" + why.name().toLowerCase(Locale.ROOT), refused.get(why.ordinal()));
+            all.put(ResultFigure.valueOf("REFUSED_" + why.name()), refused.get(why.ordinal()));
         }
         return all;
     }
--- a/src/main/java/wharftrestle/durable/Recovery.java
+++ b/src/main/java/wharftrestle/durable/Recovery.java
@@ -40,20 +40,24 @@
         this.steadyNow = steadyNow;
     }
 
-    /** Takes the next record of the log, which lies there; same boot where its steady clock is the present one. */
-    public void take(Record record, long place, boolean sameBoot) {
+    /**
+     * Takes the next record of the log, which lies there; same boot where its steady clock is the present one. False
+     * where nothing of it need be kept.
+     */
+    public boolean take(Record record, long place, boolean sameBoot) {
         keys.remove(record.key());
         if (record.kind() == Record.Kind.VOID) {
-            return;
+            return false;
         }
         if (sameBoot && steadyNow - record.steady() > record.window() + LINGER * 1000) {
             over++;   // a process that dies again and again must not carry it for ever
-            return;
+            return false;
         }
         boolean known = record.kind() == Record.Kind.RESULT;
         // Stamps are of a clock that may have stepped meanwhile: any try read within a window from now is covered.
         keys.put(record.key(), new Known(record.key(), known ? place : -1,
                 Math.max(record.lastDoor(), wallNow + record.window()), record.window(), record.check()));
+        return true;
     }
 
     /** Seconds on a clock that is now at {@code now} until a key is forgotten: one window and a linger, from now. */
--- a/src/main/java/wharftrestle/durable/Room.java
+++ b/src/main/java/wharftrestle/durable/Room.java
@@ -88,6 +88,11 @@
         return at;
     }
 
+    /** Files at most. */
+    int files() {
+        return most;
+    }
+
     /** The numbers of all files. */
     List<Long> numbers() {
         return parts.stream().map(part -> part.number).toList();
--- a/src/main/java/wharftrestle/ops/Door.java
+++ b/src/main/java/wharftrestle/ops/Door.java
@@ -40,6 +40,9 @@
 
         Counters counters();
 
+        /** The figures of kept results; empty where none are kept. */
+        Map<ResultFigure, Long> results();
+
         /** Sends callers away, or takes them again; false where the daemon leaves for good. */
         boolean lameDuck(boolean on);
 
@@ -79,6 +82,7 @@
                         : new Answer("503 Service Unavailable", "", "no: " + daemon.phase() + "\n")),
                 "/_vars", new Call("GET", () -> Answer.ok(daemon.counters().figures())),
                 "/_status", new Call("GET", () -> Answer.ok(status())),
+                "/_results", new Call("GET", () -> Answer.ok(results())),
                 "/_counters", new Call("GET", () -> Answer.ok(daemon.counters().table())),
                 "/_lameduck/on", new Call("POST", () -> lameDuck(true)),
                 "/_lameduck/off", new Call("POST", () -> lameDuck(false)),
@@ -181,11 +185,42 @@
         }
     }
 
+    private String results() {
+        Map<ResultFigure, Long> figures = daemon.results();
+        if (figures.isEmpty()) {
+            return "off\n";
+        }
+        StringBuilder lines = new StringBuilder();
+        figures.forEach((figure, value) -> lines.append(String.format(Locale.ROOT, "%-21s %12d  %s%n", figure.word(), value,
+                figure.text())));
+        return lines.toString();
+    }
+
+    /** One line: what matters most of kept results. */
+    private String resultsLine() {
+        Map<ResultFigure, Long> f = daemon.results();
+        if (f.isEmpty()) {
+            return "off";
+        }
+        long refused = f.entrySet().stream().filter(each -> each.getKey().name().startsWith("REFUSED_"))
+                .mapToLong(Map.Entry::getValue).sum();
+        String state = switch (f.get(ResultFigure.STATE).intValue()) {
+            case 1 -> "not held here";
+            case 2 -> "open";
+            default -> "THE DISK FAILS";
+        };
+        return String.format(Locale.ROOT, "%s, %d kB, sync %.1f ms (99 in 100: %.1f), %d refused, %d unsaved%s", state,
+                f.get(ResultFigure.KB), f.get(ResultFigure.SYNC_P50_US) / 1000.0,
+                f.get(ResultFigure.SYNC_P99_US) / 1000.0, refused, f.get(ResultFigure.UNSAVED),
+                f.get(ResultFigure.DAMAGED) > 0 ? ", FOUND DAMAGED" : "");
+    }
+
     private String status() {
         Counters counters = daemon.counters();
         return String.format(Locale.ROOT, "name          %s%nstate         %s%nup            %.0f s%n"
-                + "worker pool   %s%nhealth        %s%nin hand       %d requests%nkept          %d keys%n",
+                + "worker pool   %s%nhealth        %s%nin hand       %d requests%nkept          %d keys%n"
+                + "results       %s%n",
                 daemon.name(), daemon.phase(), daemon.upSeconds(), daemon.linked() ? "linked" : "not linked",
-                daemon.healthy() ? "good" : "bad", counters.outstanding(), counters.kept());
+                daemon.healthy() ? "good" : "bad", counters.outstanding(), counters.kept(), resultsLine());
     }
 }
--- a/src/main/java/wharftrestle/ops/SnmpAgent.java
+++ b/src/main/java/wharftrestle/ops/SnmpAgent.java
@@ -39,6 +39,7 @@
     /** The MIB's root; experimental, as no enterprise number is registered. */
     public static final OID ROOT = new OID("1.3.6.1.3.29421");
     private static final OID SYSTEM = new OID("1.3.6.1.2.1.1");
+    private static final long MOST_GAUGE = 0xffff_ffffL;
     private static final int MOST_BINDINGS = 100;
 
     private final Door.Daemon daemon;
@@ -82,6 +83,12 @@
         for (Count count : Count.values()) {
             put(objects, below(ROOT, 1, 2), count.ordinal() + 1, new Counter64(counters.get(count)));
         }
+        Map<ResultFigure, Long> results = daemon.results();
+        for (ResultFigure figure : ResultFigure.values()) {
+            long value = results.getOrDefault(figure, figure == ResultFigure.STATE ? 1L : 0L);
+            put(objects, below(ROOT, 1, 4), figure.ordinal() + 1,
+                    figure.counts() ? new Counter64(value) : new Gauge32(Math.min(value, MOST_GAUGE)));
+        }
         OID row = below(ROOT, 1, 3, 1);
         for (int i = 0; i < counters.classes().size(); i++) {
             objects.put(below(row, 2, i + 1), text(counters.classes().get(i)));
--- a/src/test/java/wharftrestle/BordersTest.java
+++ b/src/test/java/wharftrestle/BordersTest.java
@@ -24,7 +24,7 @@
 
     @ArchTest
     static final ArchRule onlyTheJournalMeetsTheDisk = noClasses().that().resideInAPackage("wharftrestle.durable..")
-            .and().haveNameNotMatching(".*\\.(Journal|FileDisk|Disk|UnusableException|Results.*)(\\$.*)?")
+            .and().haveNameNotMatching(".*\\.(Journal|FileDisk|Disk|UnusableException|Compaction|Results.*)(\\$.*)?")
             .should().dependOnClassesThat().resideInAnyPackage("java.io..", "java.nio.channels..", "java.nio.file..",
                     "java.util.concurrent..", "org.tinylog..", "wharftrestle.net..", "wharftrestle.core..");
 
--- a/src/test/java/wharftrestle/durable/CoreRecordsTest.java
+++ b/src/test/java/wharftrestle/durable/CoreRecordsTest.java
@@ -13,6 +13,7 @@
 import wharftrestle.core.Core.Answer;
 import wharftrestle.core.Records;
 import wharftrestle.ops.Counters;
+import wharftrestle.ops.ResultFigure;
 import wharftrestle.policy.Admission;
 import wharftrestle.policy.GroupEdfScheduler;
 
@@ -141,9 +142,9 @@
         disk.fail(1, 1);
         one.ends("saved");
         assertEquals("saved", new String(one.answer().result()));
-        assertEquals(1L, journal.figures().get("unsaved"));
+        assertEquals(1L, journal.figures().get(ResultFigure.UNSAVED));
         assertEquals("saved", new String(new Asked("k", "x").answer().result()), "from memory");
-        assertEquals(1L, journal.figures().get("errors"));
+        assertEquals(1L, journal.figures().get(ResultFigure.ERRORS));
     }
 
     @Test
--- a/src/test/java/wharftrestle/durable/LogTest.java
+++ b/src/test/java/wharftrestle/durable/LogTest.java
@@ -364,6 +364,74 @@
         }
     }
 
+    @Example
+    void startsOneAfterAnotherDoNotFillTheFolder() throws Exception {
+        MemoryDisk disk = new MemoryDisk();
+        for (int start = 0; start < 40; start++) {
+            MemoryDisk found = disk;
+            try (Journal journal = new Journal(settings(4, "group"), () -> found)) {
+                Map<String, Records.Remembered> known = byKey(journal.open(WINDOW));
+                assertEquals(start, known.size(), "start " + start);
+                assertNull(journal.refusal(), "start " + start);
+                for (int i = 0; i < start; i++) {
+                    Records.Remembered key = known.get("2/0/k" + i);
+                    if (i % 3 == 0) {
+                        assertEquals(-1, key.place());
+                    } else {
+                        assertArrayEquals(result(i), journal.read(key.key(), key.place()));
+                    }
+                }
+                String key = "2/0/k" + start;
+                if (start % 3 == 0) {
+                    Word intent = new Word();
+                    journal.intend(keyed(key), intent);
+                    assertTrue(intent.await() >= 0);
+                } else {
+                    assertTrue(run(journal, key, result(start)) >= 0);
+                }
+            }
+            disk = disk.afterKill();
+            assertTrue(disk.numbers().size() <= 10, disk.numbers() + " files");
+        }
+    }
+
+    @Example
+    void aCompactionThatDiesAnywhereLeavesALogThatSaysTheSame() throws Exception {
+        MemoryDisk full = new MemoryDisk();
+        Map<String, byte[]> results = new HashMap<>();
+        for (int start = 0; start < 5; start++) {
+            MemoryDisk found = full;
+            try (Journal journal = new Journal(settings(4, "group"), () -> found)) {
+                journal.open(WINDOW);
+                results.put("2/0/k" + start, result(start));
+                run(journal, "2/0/k" + start, result(start));
+            }
+            full = full.afterKill();
+        }
+        boolean died = true;
+        for (int dieAt = 1; died; dieAt++) {
+            MemoryDisk disk = full.afterKill();
+            disk.die(dieAt);
+            try {
+                assertTrue(Compaction.run(disk, 256 * 1024, 16));
+                died = false;
+            } catch (IOException power) {
+                died = true;
+            }
+            MemoryDisk left = disk.afterPowerLoss(dieAt);
+            try (Journal next = new Journal(settings(4, "group"), () -> left)) {
+                Records.Recovered recovered = next.open(WINDOW);
+                assertFalse(blind(recovered), "died at " + dieAt);
+                Map<String, Records.Remembered> known = byKey(recovered);
+                assertEquals(results.keySet(), known.keySet());
+                for (String key : results.keySet()) {
+                    assertArrayEquals(results.get(key), next.read(key, known.get(key).place()));
+                }
+            }
+            assertTrue(died || disk.numbers().size() == 1, "one file is left of five");
+        }
+    }
+
     @Example
     void oldFilesGoAndTheirRoomComesBack() {
         Room room = new Room(4 << 20);
--- /dev/null
+++ b/src/test/java/wharftrestle/prove/ProveResultsTest.java
@@ -0,0 +1,24 @@
+package wharftrestle.prove;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** The short form of the proof, as 'make prove-results SHORT=1' plays it. */
+class ProveResultsTest {
+    private static final long SEED = 29421;
+
+    @Test
+    void nothingRunsTwiceOverKillsAndWithoutTheStoreItDoes() throws Exception {
+        ProveResults.Seen kept = ProveResults.play(true, 400, 8, SEED, System.out);
+        System.out.println("kept, seed " + SEED + ": " + kept);
+        assertEquals(0, kept.doubleRuns);
+        assertEquals(0, kept.refusedAfterRun.get());
+        assertEquals(0, kept.notItsBytes.get());
+        assertTrue(kept.replayed.get() > 50, "results were given again");
+        ProveResults.Seen without = ProveResults.play(false, 0, 5, SEED, System.out);
+        System.out.println("not kept: " + without);
+        assertTrue(without.doubleRuns > 0, "without the store the proof must find double runs");
+    }
+}
