--- a/src/test/java/wharftrestle/prove/ProveResults.java
+++ b/src/test/java/wharftrestle/prove/ProveResults.java
@@ -66,8 +66,8 @@
         @Override
         public String toString() {
             return String.format(Locale.ROOT, "%d repeats of %d keys, %d kills, %d double runs, %d refused after a run, "
-                    + "%d not with their bytes (%d served, %d of them again, %d failed, %d refused)", repeats.get(), keys, kills,
-                    doubleRuns, refusedAfterRun.get(), notItsBytes.get(), served.get(), replayed.get(), failed.get(),
+                    + "%d not with their bytes (%d served, %d of them again, %d failed, %d refused)", repeats.get(), keys,
+                    kills, doubleRuns, refusedAfterRun.get(), notItsBytes.get(), served.get(), replayed.get(), failed.get(),
                     refused.get());
         }
     }
