Test kills at any step of an upgrade and a disk silent for 2 s, and bench kept results

Change: an upgrade under load, with the folder taken as a kill would leave it over and over: every run that had been asked for by then is known from it. A disk silent for 2 s under load: each keyed request is refused within a second, unkeyed ones run.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 bench-results: build target/classpath
 	java -cp $(CLASSES) wharftrestle.bench.KeyStructures
 	java -cp $(CLASSES) org.openjdk.jmh.Main KeyStructures
-	java -cp $(CLASSES) wharftrestle.prove.BenchResults
+	java -Dpackaged=true -cp $(CLASSES) wharftrestle.prove.BenchResults
 
 # The stores that docs/design/results.md weighs, each in a process of its own.
 measure-candidates:
--- a/src/main/java/wharftrestle/core/Core.java
+++ b/src/main/java/wharftrestle/core/Core.java
@@ -1017,7 +1017,9 @@
             } else if (other != null) {
                 other.saved(entry.key());
             }
-            settleIfUp();
+            if (module != null) {
+                settleSoon(now());
+            }
         } finally {
             lock.unlock();
         }
--- a/src/test/java/wharftrestle/ResultsTest.java
+++ b/src/test/java/wharftrestle/ResultsTest.java
@@ -6,14 +6,23 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import wharftrestle.Loopback.Caller;
 import wharftrestle.Loopback.Command;
 import wharftrestle.Loopback.Reply;
+import wharftrestle.core.Records;
+import wharftrestle.durable.Journal;
 import wharftrestle.durable.UnusableException;
 import wharftrestle.net.Config;
 
@@ -31,8 +40,9 @@
     private Path killed(Path from) throws IOException {
         Path to = folder.resolve("copy" + ++copies);
         Files.createDirectories(to);
+        Files.copy(from.resolve("list"), to.resolve("list"));   // first: what it names is there by then
         try (Stream<Path> all = Files.list(from)) {
-            for (Path each : (Iterable<Path>) all::iterator) {
+            for (Path each : (Iterable<Path>) all.filter(file -> file.toString().endsWith(".log"))::iterator) {
                 Files.copy(each, to.resolve(each.getFileName()));
             }
         }
@@ -132,6 +142,73 @@
         return next;
     }
 
+    /** A folder as a kill at that moment leaves it, and the keys whose runs had been asked for by then. */
+    private record Moment(Path left, Set<String> ran) { }
+
+    @Test
+    void aKillAtAnyStepOfAnUpgradeLeavesEveryRunOnDisk() throws Exception {
+        Path log = folder.resolve("log");
+        List<Moment> moments = new ArrayList<>();
+        AtomicBoolean over = new AtomicBoolean();
+        try (Loopback old = upgrade(null, log)) {
+            old.autoMs = 3;
+            List<Loopback> sites = new CopyOnWriteArrayList<>(List.of(old));
+            Thread desk = new Thread(() -> keepAsking(old, "old", over));
+            desk.start();
+            Thread copier = new Thread(() -> {
+                while (!over.get()) {
+                    Set<String> ran = new HashSet<>();
+                    sites.forEach(site -> ran.addAll(site.runs.keySet()));
+                    try {
+                        moments.add(new Moment(killed(log), ran));
+                    } catch (IOException e) {
+                        throw new UncheckedIOException(e);
+                    }
+                }
+            });
+            copier.start();
+            while (old.runs.size() < 20) {
+                Thread.onSpinWait();
+            }
+            try (Loopback next = new Loopback(Sites.site(), keeping(log), 1024, folder.resolve("n1.sock"), old)) {
+                next.autoMs = 3;
+                sites.add(next);
+                next.awaitTaking();
+                Thread other = new Thread(() -> keepAsking(next, "new", over));
+                other.start();
+                while (next.runs.size() < 20) {
+                    Thread.onSpinWait();
+                }
+                over.set(true);
+                other.join();
+                copier.join();
+                desk.join();
+            }
+        }
+        assertTrue(moments.size() > 5, moments.size() + " moments");
+        for (Moment moment : moments) {
+            try (Journal journal = new Journal(keeping(moment.left()).durable())) {
+                Records.Recovered recovered = journal.open(12);
+                Set<String> known = new HashSet<>();
+                recovered.keys().forEach(key -> known.add(key.key().replaceFirst("2/0/", "")));
+                assertTrue(known.containsAll(moment.ran()), "ran and not on disk in " + moment.left());
+            }
+        }
+    }
+
+    private static void keepAsking(Loopback site, String name, AtomicBoolean over) {
+        try (Caller caller = site.new Caller()) {
+            for (int i = 1; !over.get(); i++) {
+                ask(caller, i, name.hashCode() * 100_000L + i & Long.MAX_VALUE, name + i, name + i);
+                while (caller.reply().word().equals("closing")) {
+                    continue;
+                }
+            }
+        } catch (IOException gone) {
+            return;   // sent away: others come to the new process
+        }
+    }
+
     @Test
     void twoProcessesOfOneBoxShareOneLog() throws Exception {
         Path log = folder.resolve("log");
--- a/src/test/java/wharftrestle/durable/CoreRecordsTest.java
+++ b/src/test/java/wharftrestle/durable/CoreRecordsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -135,6 +136,35 @@
         assertEquals("now", new String(again.answer().result()));
     }
 
+    @Test
+    void aDiskThatIsSilentForTwoSecondsUnderLoadLeavesNobodyWithoutAnAnswer() throws Exception {
+        Asked first = new Asked("first", "x");
+        first.runs();
+        disk.stall();
+        first.ends("saved");
+        disk.awaitStalled();
+        long until = System.nanoTime() + 2_000_000_000L;
+        List<Asked> keyed = new ArrayList<>();
+        int reads = 0;
+        while (System.nanoTime() < until) {
+            Asked refused = new Asked("k" + keyed.size(), "x");
+            keyed.add(refused);
+            assertEquals(Answer.Kind.REFUSED, refused.answer().kind());
+            assertTrue(refused.took < 1, "given up is answered at once: " + refused.took);
+            Asked read = new Asked(null, "x");
+            read.runs();   // and nothing keyed: that would come first
+            read.ends("fine");
+            assertEquals(Answer.Kind.SERVED, read.answer().kind());
+            reads++;
+        }
+        disk.wake();
+        assertEquals("saved", new String(first.answer().result()), "in time, once the disk is back");
+        assertTrue(keyed.size() > 50 && reads > 50, keyed.size() + " keyed and " + reads + " unkeyed in 2 s");
+        awaitRefusal(null);
+        Asked again = new Asked("k0", "x");
+        again.runs();
+    }
+
     @Test
     void aResultThatTheDiskDoesNotTakeIsStillAnsweredAndNeverRunsAgain() throws Exception {
         Asked one = new Asked("k", "x");
--- a/src/test/java/wharftrestle/prove/BenchResults.java
+++ b/src/test/java/wharftrestle/prove/BenchResults.java
@@ -1,8 +1,10 @@
 package wharftrestle.prove;
 
+import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.Locale;
 import java.util.Random;
@@ -18,22 +20,27 @@
  * ready again over a store that was filled, for each limit on memory. Figures are in docs/results.md.
  */
 public final class BenchResults {
-    private static final int DESKS = 16;
+    private static final int[] DESKS = {16, 96};
 
     private BenchResults() { }
 
     public static void main(String[] args) throws Exception {
         int seconds = args.length > 0 ? Integer.parseInt(args[0]) : 8;
         int cores = Runtime.getRuntime().availableProcessors();
-        System.out.println("cores " + cores + ", desks " + DESKS + ", a run 0 to 25 ms");
-        double off = 0;
-        for (String sync : new String[] {"off", "none", "group", "each"}) {
-            double rate = load(sync, seconds, System.out);
-            off = sync.equals("off") ? rate : off;
-            System.out.printf(Locale.ROOT, "         %.3f of the rate with the store off%n", rate / off);
+        System.out.println("cores " + cores + ", desks " + Arrays.toString(DESKS) + ", a run 0 to 25 ms");
+        for (int desks : DESKS) {
+            double off = 0;
+            for (String sync : new String[] {"off", "none", "group", "each"}) {
+                double rate = load(sync, desks, seconds, System.out);
+                off = sync.equals("off") ? rate : off;
+                System.out.printf(Locale.ROOT, "         %.3f of the rate with the store off%n", rate / off);
+            }
         }
         for (int memory : new int[] {64, 128, 192}) {
-            full(memory, System.out);
+            full(memory, 8, System.out);
+        }
+        for (int mb : new int[] {4, 16, 32}) {
+            full(192, mb, System.out);
         }
     }
 
@@ -56,32 +63,35 @@
         }
     }
 
-    private static double load(String sync, int seconds, PrintStream out) throws Exception {
+    private static double load(String sync, int desks, int seconds, PrintStream out) throws Exception {
         double[] rate = {0};
-        with(sync.equals("off") ? "" : "max_mb = 256, max_keys = 200000, sync = \"" + sync + "\"", 192, (floor, folder) -> {
-            ask(floor, 2, "note", new ConcurrentHistogram(60_000_000, 3));   // warm
+        String settings = sync.equals("off") ? "" : "max_mb = 256, max_keys = 200000, sync = \"" + sync + "\"";
+        with(settings, 192, (floor, folder) -> {
+            ask(floor, desks, 2, "note", new ConcurrentHistogram(60_000_000, 3));   // warm
             Histogram latency = new ConcurrentHistogram(60_000_000, 3);
-            int served = ask(floor, seconds, "note", latency);
+            int served = ask(floor, desks, seconds, "note", latency);
             rate[0] = served / (double) seconds;
-            String syncs = floor.get("/_results").lines().filter(line -> line.startsWith("syncs")
+            String syncs = floor.get("/_results").lines().filter(line -> line.startsWith("sync")
                     || line.startsWith("records")).map(line -> line.replaceAll(" +", " ").split(" ")[0] + " "
                             + line.replaceAll(" +", " ").split(" ")[1]).reduce("", (a, b) -> a + ", " + b);
-            out.printf(Locale.ROOT, "%-6s %6.0f served/s, p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms, resident %d MB%s%n", sync,
+            out.printf(Locale.ROOT, "%3d desks, %-6s %6.0f served/s, "
+                    + "p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms, resident %d MB%s%n",
+                    desks, sync,
                     rate[0], latency.getValueAtPercentile(50) / 1000.0, latency.getValueAtPercentile(99) / 1000.0,
-                    latency.getValueAtPercentile(99.9) / 1000.0, floor.residentKb() >> 10, syncs);
+                    latency.getValueAtPercentile(99.9) / 1000.0, floor.memoryKb("VmHWM") >> 10, syncs);
         });
         return rate[0];
     }
 
     /** Asks new keys for so long; how many were served. Latency is from the moment of asking, one at a time a desk. */
-    private static int ask(Floor floor, double seconds, String note, Histogram latency) throws InterruptedException {
+    private static int ask(Floor floor, int desks, double seconds, String note, Histogram latency) throws InterruptedException {
         AtomicInteger served = new AtomicInteger();
         AtomicLong references = new AtomicLong(System.nanoTime());
         long until = System.nanoTime() + (long) (seconds * 1e9);
-        Thread[] desks = new Thread[DESKS];
-        for (int i = 0; i < DESKS; i++) {
+        Thread[] all = new Thread[desks];
+        for (int i = 0; i < desks; i++) {
             Random random = new Random(i);
-            desks[i] = new Thread(() -> {
+            all[i] = new Thread(() -> {
                 try (Desk desk = new Desk(floor.address())) {
                     while (System.nanoTime() < until) {
                         String key = Long.toHexString(random.nextLong()) + Long.toHexString(System.nanoTime());
@@ -91,36 +101,39 @@
                             latency.recordValue((System.nanoTime() - at) / 1000);
                         }
                     }
-                } catch (java.io.IOException e) {
+                } catch (IOException e) {
                     System.out.println("a desk ended: " + e);
                 }
             });
-            desks[i].start();
+            all[i].start();
         }
-        for (Thread desk : desks) {
+        for (Thread desk : all) {
             desk.join();
         }
         return served.get();
     }
 
     /** Fills a store until it refuses, and starts anew over it. */
-    private static void full(int memory, PrintStream out) throws Exception {
-        with("max_mb = 8, max_keys = 32768", memory, (floor, folder) -> {
+    private static void full(int memory, int mb, PrintStream out) throws Exception {
+        with("max_mb = " + mb + ", max_keys = 200000, sync = \"none\"", memory, (floor, folder) -> {
             int served = 0;
-            for (int i = 0; i < 20 && !floor.get("/_results").matches("(?s).*refused_store_full +[1-9].*"); i++) {
-                served += ask(floor, 1, "x".repeat(1500), new ConcurrentHistogram(60_000_000, 3));
+            for (int i = 0; i < 25 && !floor.get("/_results").matches("(?s).*refused_store_full +[1-9].*"); i++) {
+                served += ask(floor, mb > 8 ? 64 : 16, 1, "x".repeat(1500), new ConcurrentHistogram(60_000_000, 3));
             }
             String figures = floor.get("/_results");
-            long resident = floor.residentKb();
+            long resident = floor.memoryKb("VmHWM");
+            long own = floor.memoryKb("RssAnon");
             floor.kill();
             long began = System.nanoTime();
             floor.start();
             double again = (System.nanoTime() - began) / 1e6;
-            out.printf(Locale.ROOT, "memory_mb %d: %d keys served, store %s kB used, %s refused as full, resident %d MB; "
-                    + "killed, ready again after %.0f ms, of which %s us read the log (%s known), resident %d MB%n", memory,
-                    served, figure(figures, "used_kb"), figure(figures, "refused_store_full"), resident >> 10, again,
-                    figure(floor.get("/_results"), "recovery_us"), figure(floor.get("/_results"), "recovered_known"),
-                    floor.residentKb() >> 10);
+            String after = floor.get("/_results");
+            out.printf(Locale.ROOT, "memory_mb %d, max_mb %d: %d keys served, %s kB used, refused as full %s, "
+                    + "resident %d MB, "
+                    + "%d of it its own; killed, ready after %.0f ms, %.0f of them reading (%s known), resident %d MB, "
+                    + "%d its own%n", memory, mb, served, figure(figures, "used_kb"), figure(figures, "refused_store_full"),
+                    resident >> 10, own >> 10, again, Long.parseLong(figure(after, "recovery_us")) / 1000.0,
+                    figure(after, "recovered_known"), floor.memoryKb("VmHWM") >> 10, floor.memoryKb("RssAnon") >> 10);
         });
     }
 
--- a/src/test/java/wharftrestle/prove/Floor.java
+++ b/src/test/java/wharftrestle/prove/Floor.java
@@ -116,7 +116,9 @@
     void start() throws IOException, InterruptedException {
         String classes = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
         int heap = Math.max(16, Math.min(40, memoryMb * 3 / 10));
-        List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java",
+        boolean packaged = Boolean.getBoolean("packaged");   // as it is deployed, where memory is measured
+        List<String> command = new ArrayList<>(packaged ? List.of("sh", "deploy/run.sh")
+                : List.of(System.getProperty("java.home") + "/bin/java",
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms" + heap * 3 / 5 + "m", "-Xmx" + heap + "m", "-Xss192k",
                 "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=16m", "-XX:MaxDirectMemorySize=4m",
                 "-cp", classes, "wharftrestle.Main", "serve"));
@@ -168,10 +170,10 @@
         return daemon.waitFor();
     }
 
-    /** Resident memory of the daemon's process, kB. */
-    long residentKb() throws IOException {
+    /** Memory of the daemon's process, kB: VmHWM is the most that was resident, RssAnon what can only be its own. */
+    long memoryKb(String name) throws IOException {
         return Files.readAllLines(Path.of("/proc/" + daemon.pid() + "/status")).stream()
-                .filter(line -> line.startsWith("VmHWM:")).mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
+                .filter(line -> line.startsWith(name + ":")).mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
                 .findFirst().orElse(0);
     }
 
