--- a/src/test/java/wharftrestle/prove/BenchResults.java
+++ b/src/test/java/wharftrestle/prove/BenchResults.java
@@ -84,7 +84,8 @@
     }
 
     /** Asks new keys for so long; how many were served. Latency is from the moment of asking, one at a time a desk. */
-    private static int ask(Floor floor, int desks, double seconds, String note, Histogram latency) throws InterruptedException {
+    private static int ask(Floor floor, int desks, double seconds, String note, Histogram latency)
+            throws InterruptedException {
         AtomicInteger served = new AtomicInteger();
         AtomicLong references = new AtomicLong(System.nanoTime());
         long until = System.nanoTime() + (long) (seconds * 1e9);
