Tell every record its end where the writer of kept results ends by a fault

Need, found in reading: a fault in the step that follows a record would have ended the writer, and results told after it would have waited for their due time. Each word is told by itself now, and a writer that ends closes its queue, so that what comes later is answered from memory at once. A run whose intent was not recorded is no run that ended otherwise.

Measured: the stories of a failing, stalled and full disk pass.

--- a/src/main/java/wharftrestle/core/Core.java
+++ b/src/main/java/wharftrestle/core/Core.java
@@ -793,7 +793,9 @@
     }
 
     private void tellRunOver(Task task, Outcome outcome, double elapsed, byte[] result) {
-        counters.add(outcome == Outcome.SUCCESS ? Count.RUNS_GOOD : Count.RUNS_OTHER);
+        if (!recording(task)) {
+            counters.add(outcome == Outcome.SUCCESS ? Count.RUNS_GOOD : Count.RUNS_OTHER);
+        }
         task.runOver = true;
         task.callNumber++;
         if (task.call != null) {
--- a/src/main/java/wharftrestle/durable/Journal.java
+++ b/src/main/java/wharftrestle/durable/Journal.java
@@ -380,6 +380,10 @@
         } catch (RuntimeException fault) {
             Logger.error(fault, "kept results");
             state = State.FAILED;
+        } finally {
+            // Guards against results that wait for a writer that has ended: what comes now is told at once.
+            gather.close();
+            gather.drain().forEach(ticket -> tell(ticket));
         }
     }
 
@@ -406,7 +410,16 @@
                 settle(ticket.record.key());
             }
             unsaved += end && ticket.place < 0 ? 1 : 0;
+            tell(ticket);
+        }
+    }
+
+    /** Guards against a fault in one request's next step ending the writer of all. */
+    private static void tell(Ticket ticket) {
+        try {
             ticket.told.written(ticket.place);
+        } catch (RuntimeException fault) {
+            Logger.error(fault, "word of a record");
         }
     }
 
