Cut random logs at every byte and hold recovery against a model of what may run

Need: the log was cut at every byte for one fixed content; the issue asks it of any written log.

Measured: 60 random logs, each cut at every byte by zeros and by length: each key's state is that of its last whole record, and where the length is short the log says that it is damaged, so that nothing unknown runs.

--- a/src/test/java/wharftrestle/durable/LogTest.java
+++ b/src/test/java/wharftrestle/durable/LogTest.java
@@ -203,6 +203,68 @@
         }
     }
 
+    /**
+     * Any log, cut at every byte: by zeros, as a crash tears it, and by its length, as a fault of the disk cuts it. The
+     * model says of each key what its whole records before the cut mean; none that ran may be free.
+     */
+    @Property(tries = 60, seed = "29421")
+    void whereverALogIsCutNoKeyThatRanIsFree(@ForAll long seed) throws Exception {
+        Random random = new Random(seed);
+        ByteBuffer file = ByteBuffer.allocate(2048);
+        file.put(Segment.head(1, 3, 7, 2048));
+        List<Record> records = new ArrayList<>();
+        List<Integer> ends = new ArrayList<>();
+        for (int batch = 1; file.remaining() > 400; batch++) {
+            int size = 1 + random.nextInt(3);
+            for (int i = 0; i < size && file.remaining() > 200; i++) {
+                Record.Kind kind = Record.Kind.values()[random.nextInt(4)];
+                Record record = new Record(kind, i == size - 1 || file.remaining() <= 400, batch, 0, 1000, 9, 20_000, 5,
+                        "k" + random.nextInt(5), kind == Record.Kind.RESULT ? result(random.nextInt(100)) : new byte[0]);
+                int begin = file.position();
+                record.put(file);
+                records.add(record);
+                ends.add(begin + Record.HEAD + file.getInt(begin));   // the zeros behind it say nothing
+            }
+        }
+        for (int cut = Segment.HEAD; cut <= 2048; cut++) {
+            byte[] torn = file.array().clone();
+            Arrays.fill(torn, cut, torn.length, (byte) 0);
+            Map<String, Record> whole = new HashMap<>();
+            Map<String, Record> unharmed = new HashMap<>();   // also those of which only zeros were cut
+            for (int i = 0; i < records.size(); i++) {
+                if (ends.get(i) <= cut) {
+                    whole.put(records.get(i).key(), records.get(i));
+                }
+                if (Arrays.equals(torn, 0, ends.get(i), file.array(), 0, ends.get(i))) {
+                    unharmed.put(records.get(i).key(), records.get(i));
+                }
+            }
+            recovers(torn, unharmed, false, cut);
+            if (cut < 2048) {
+                recovers(Arrays.copyOf(file.array(), cut), whole, true, cut);
+            }
+        }
+    }
+
+    private static void recovers(byte[] bytes, Map<String, Record> model, boolean damaged, int cut) throws Exception {
+        Recovery recovery = new Recovery(System.currentTimeMillis(), 1000);
+        Segment.Seen seen = Segment.scan(ByteBuffer.wrap(bytes), (record, at) -> recovery.take(record, at, true));
+        assertEquals(damaged, seen.damaged(), "cut at " + cut + ": where keys may be lost none that is unknown runs");
+        Map<String, Recovery.Known> known = new HashMap<>();
+        recovery.keys().forEach(key -> known.put(key.key(), key));
+        for (Record last : model.values()) {
+            Recovery.Known key = known.remove(last.key());
+            if (last.kind() == Record.Kind.VOID) {
+                assertNull(key, "cut at " + cut);
+                continue;
+            }
+            assertNotNull(key, "cut at " + cut + ": " + last.key() + " ran and is free");
+            byte[] found = key.place() < 0 ? new byte[0] : Record.at(ByteBuffer.wrap(bytes), (int) key.place()).result();
+            assertEquals(last.kind() == Record.Kind.RESULT, key.place() >= 0);
+            assertArrayEquals(last.result(), found);
+        }
+    }
+
     @Property(tries = 300, seed = "29421")
     void noBytesEndAScan(@ForAll long seed, @ForAll @IntRange(min = 1, max = 40) int changes) throws Exception {
         byte[] bytes = written(new ArrayList<>(), new ArrayList<>());
