--- a/src/main/java/wharftrestle/Main.java
+++ b/src/main/java/wharftrestle/Main.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 import org.tinylog.Logger;
 import org.tinylog.provider.ProviderRegistry;
@@ -26,9 +27,11 @@
 @Command(name = "wharftrestle", mixinStandardHelpOptions = true,
         description = "Admission and overload control for one script server",
         subcommands = {Main.Serve.class, Main.Adapter.class, Main.Attach.class, Main.Rehearse.class,
-            Main.SettingsOf.class, Main.Results.class, Main.Version.class})
+            Main.Version.class})
 public final class Main implements Runnable {
     private static final int BAD_USE = 2;
+    /** Commands of a daemon and of the bench. */
+    private static final List<String> AT_WORK = List.of("serve", "adapter", "rehearse");
 
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -37,6 +40,10 @@
 
     public static void main(String[] args) {
         CommandLine line = new CommandLine(new Main());
+        if (args.length == 0 || !AT_WORK.contains(args[0])) {
+            // The daemon's start pays for every command that picocli is told of: operators' tools are left out there.
+            line.addSubcommand(new SettingsOf()).addSubcommand(new Results());
+        }
         line.setParameterExceptionHandler((e, given) -> complain(e.getMessage()));
         line.setExecutionExceptionHandler((e, command, parsed) -> {
             if (e instanceof Config.BadConfigException || e instanceof BadSettingsException) {
@@ -106,7 +113,7 @@
 
     /** The operator's terminal. */
     @Command(name = "console",
-            description = "call a running daemon: ready, vars, lameduck on, lameduck off, status, counters, drain")
+            description = "call a running daemon: ready, vars, lameduck on, lameduck off, status, results, counters, drain")
     static final class Attach implements Callable<Integer> {
         @Option(names = "--at",
                 description = "the daemon's console address; default: $EDGE_CONSOLE, else control in --appliance")
