Ask one place whether a file of kept results is of this boot, and drop a factory nobody calls

Segment.sameBoot serves both; behaviour is as before.

Measured: the tests of the log, of the folder's tools and of the borders pass, as does the lint.

--- a/src/main/java/wharftrestle/durable/Compaction.java
+++ b/src/main/java/wharftrestle/durable/Compaction.java
@@ -92,8 +92,7 @@
 
     static boolean sameBoot(ByteBuffer bytes, long boot) throws IOException {
         try {
-            Segment.Head head = Segment.head(bytes);
-            return head != null && boot != 0 && head.boot() == boot;
+            return Segment.sameBoot(bytes, boot);
         } catch (Segment.ForeignException e) {
             throw new IOException(e.getMessage());
         }
--- a/src/main/java/wharftrestle/durable/Journal.java
+++ b/src/main/java/wharftrestle/durable/Journal.java
@@ -173,12 +173,10 @@
             for (int i = 0; i < files.length; i++) {
                 long number = files[i];
                 ByteBuffer bytes = opened.read(number);
-                boolean[] same = {false};
-                Segment.Head head = Segment.head(bytes);
-                same[0] = head != null && head.boot() == boot && boot != 0;
+                boolean same = Segment.sameBoot(bytes, boot);
                 double[] until = {Double.NEGATIVE_INFINITY};
                 Segment.Seen seen = Segment.scan(bytes, (record, offset) -> {
-                    if (recovery.take(record, place(number, offset), same[0])) {
+                    if (recovery.take(record, place(number, offset), same)) {
                         until[0] = Math.max(until[0], now + record.window() / 1000.0 + Recovery.LINGER);
                     }
                 });
--- a/src/main/java/wharftrestle/durable/Record.java
+++ b/src/main/java/wharftrestle/durable/Record.java
@@ -54,12 +54,6 @@
     private static final int LAST = 0x80;
     static final int ALIGN = 8;
     private static final int FIXED = 1 + 4 + 8 + 8 + 8 + 4 + 8 + 2 + 4;
-    private static final byte[] NOTHING = new byte[0];
-
-    /** A record without a result. */
-    static Record plain(Kind kind, long lastDoor, int window, long check, String key) {
-        return new Record(kind, false, 0, 0, 0, lastDoor, window, check, key, NOTHING);
-    }
 
     Record written(boolean last, int inBatch, long atWall, long atSteady) {
         return new Record(kind, last, inBatch, atWall, atSteady, lastDoor, window, check, key, result);
--- a/src/main/java/wharftrestle/durable/Segment.java
+++ b/src/main/java/wharftrestle/durable/Segment.java
@@ -78,6 +78,12 @@
                 bytes.getLong(24), bytes.getLong(32)) : null;
     }
 
+    /** True where the steady clock of its records is that of this boot; a boot of 0 is no known one. */
+    static boolean sameBoot(ByteBuffer bytes, long boot) throws ForeignException {
+        Head head = head(bytes);
+        return head != null && boot != 0 && head.boot() == boot;
+    }
+
     /** Guards against calling a file of ours foreign for some garbled bytes, or zeros that a crash left. */
     private static boolean like(long magic) {
         int same = 0;
