Agree on a hand-over before anything moves, by one table of steps that is explored whole

Causes, read in the code: all was handed over on the first word (Lifecycle.asked), a closed link counted as a death on both sides (Upgrade.converse, Lifecycle.lost), settings were not compared.

Change: package handover, without I/O or clocks: HandOver (the steps of both sides, table in its comment), Terms and Agreement (what each says, whether they can), Between (what becomes of each key). Settled keys are copied while the one that serves owns and serves on; ownership passes in one step after the other has all. A link ends only with its process. A lock file says whether a process lives that knows the keys, so that none starts cold beside it.

--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.BindException;
 import java.net.InetSocketAddress;
-import java.nio.channels.ServerSocketChannel;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -13,29 +12,31 @@
 import wharftrestle.durable.Journal;
 import wharftrestle.front.Resp;
 import wharftrestle.front.Uwsgi;
+import wharftrestle.handover.Agreement;
+import wharftrestle.handover.Terms;
 import wharftrestle.keys.KeyRoom;
 import wharftrestle.keys.KeyTable;
-import wharftrestle.net.Bytes;
 import wharftrestle.net.Config;
 import wharftrestle.net.PoolLink;
 import wharftrestle.net.Reporter;
 import wharftrestle.net.Server;
 import wharftrestle.net.StoreClient;
-import wharftrestle.net.Upgrade;
 import wharftrestle.ops.Counters;
 import wharftrestle.ops.Door;
 import wharftrestle.ops.ResultFigure;
 import wharftrestle.ops.SnmpAgent;
 import wharftrestle.policy.Admission;
 import wharftrestle.policy.GroupEdfScheduler;
+import wharftrestle.version.Build;
+import wharftrestle.version.Version;
 
 /**
  * Owns the daemon from its start to its exit: it puts the parts together, and its named states say how far it
- * has come. In an upgrade it takes over from the process that serves, or cedes to the one that comes. It must never
- * go back a state but from ceded to serving, where the new process dies early; never take part in a request, or
+ * has come. Where two processes serve one box {@link Succession} says what it does next. It must never go back a state
+ * but from ceded to serving, where the new process dies early; never take part in a request, or
  * leave before all that was read has its answer while there is time.
  */
-public final class Lifecycle implements Door.Daemon, Upgrade.Side, AutoCloseable {
+public final class Lifecycle implements Door.Daemon, Succession.Box, AutoCloseable {
 
     /** From start to exit, in this order; another process serves this box's clients from CEDED on. */
     public enum State {
@@ -82,9 +83,8 @@
     private static final double CEDED_MOST = 3;
     /** Seconds beyond that. */
     private static final double CEDED_MORE = 0.7;
-    /** Milliseconds between two tries for the folder of kept results, and how many. */
+    /** Milliseconds between two tries for the folder of kept results. */
     private static final int LOCK_MS = 50;
-    private static final int LOCK_TRIES = 20;
     /** Milliseconds for which what waits for the disk holds up a hand-over. */
     private static final int HAND_MS = 1000;
     /** Milliseconds between two tries for an address that the ceding process still has. */
@@ -114,11 +114,8 @@
     private final int mostCallers;
     private final int mostRequests;
     private final int mostGateways;
-    private Upgrade elder;                     // the process to take over from, or null
-    private Upgrade other;                     // the one link of a take-over under way
-    private boolean taking;                    // this side takes over
-    private Upgrade next;                      // asked while a take-over is under way: its turn comes after
-    private ServerSocketChannel successors;
+    private final Succession succession;
+    private final Version version;
     private volatile boolean closed;
     private final long startedAt = System.nanoTime();
 
@@ -132,6 +129,11 @@
 
     /** The same with a room for keys that is not the heap's share. */
     public Lifecycle(Config config, Config.Appliance appliance, KeyRoom room) throws IOException {
+        this(config, appliance, room, Agreement.STANDING);
+    }
+
+    /** The same with another rule of who may take over from whom. */
+    public Lifecycle(Config config, Config.Appliance appliance, KeyRoom room, Agreement agreement) throws IOException {
         this.config = config;
         this.appliance = appliance;
         stopSeconds = config.stopSeconds();
@@ -155,8 +157,9 @@
         if (journal != null) {
             core.record(journal);
         }
-        elder = config.meeting() == null ? null : Upgrade.meet(config.meeting(), core, this);
-        if (elder == null) {
+        version = Build.version(canonical(config, appliance));
+        succession = new Succession(config.name(), config.meeting(), core.partner(), this, agreement);
+        if (!succession.comes()) {
             if (journal != null) {
                 core.recovered(journal.open(longestWindow()));   // before the first repeat can be read
             }
@@ -165,38 +168,24 @@
                 uwsgi.listen(config.meeting() != null, true);
             }
         }
-        if (!operatorsIn() && elder == null) {
+        if (!operatorsIn() && !succession.comes()) {
             close();
             throw new BindException("the operators' addresses are taken");
         }
     }
 
+    /** All that this daemon is set to, in one form whatever way it was written down; addresses and seeds are no settings. */
+    private static String canonical(Config config, Config.Appliance appliance) {
+        return config.settings() + "\n" + config.stopSeconds() + " " + config.sockets() + " " + config.memoryMb() + "\n"
+                + appliance;
+    }
+
     /** Seconds in which a key of any class may come again, with the slack of the table. */
     private double longestWindow() {
         return KeyTable.SLACK + config.settings().classes().stream()
                 .mapToDouble(Admission.RequestClass::window).max().orElse(0);
     }
 
-    /**
-     * Takes the folder of kept results from the other process of this box, which gives it back or has died. Guards
-     * against runs that nobody records: where it cannot be had, keyed requests are refused, and all else is served.
-     */
-    private void takeRecords() {
-        if (journal == null) {
-            return;
-        }
-        for (int tries = 0; tries < LOCK_TRIES; tries++) {
-            try {
-                core.recovered(journal.open(longestWindow()));
-                return;
-            } catch (IOException e) {
-                Logger.warn("kept results: {}", e.getMessage());
-                LockSupport.parkNanos(LOCK_MS * 1_000_000L);
-            }
-        }
-        Logger.error("{}: kept results cannot be had, keyed requests are refused", config.name());
-    }
-
     /** Lets operators in; false where an address of theirs cannot be had now. */
     private synchronized boolean operatorsIn() {
         try {
@@ -215,170 +204,126 @@
     }
 
     public void start() {
+        Logger.info("{} starts: {}", config.name(), version.line());
         core.open(pool, store, reporter);
-        if (elder != null) {
+        boolean comes = succession.comes();
+        if (comes) {
             halve(true);
         }
         pool.start();
-        reporter.pause(elder != null);
+        reporter.pause(comes);
         reporter.start();
-        if (elder == null) {
-            resp.start();
-            if (uwsgi != null) {
-                uwsgi.start();
-            }
+        if (!comes) {
+            accept();
             serveOn();
         } else {
-            Core.thread("take-over", this::takeOver).start();
+            succession.start();
+            Core.thread("take-over", () -> {
+                try {
+                    core.awaitReady();
+                    succession.poolUp();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }).start();
         }
     }
 
     /** Guards against the two processes of an upgrade having more threads and connections than one may. */
-    private void halve(boolean half) {
+    @Override
+    public void halve(boolean half) {
         int part = half ? 2 : 1;
         core.limit(mostRequests / part);
         resp.limit((mostCallers - mostGateways) / part);
         if (uwsgi != null) {
             uwsgi.limit(mostGateways / part);
         }
+        if (half) {
+            // Guards against the connections of both being more than one process may have.
+            resp.sendAway((mostCallers - mostGateways) / 2);
+        }
     }
 
-    // ---- The upgrade: what this process does as the new one, then as the one that cedes ----
+    // ---- What a hand-over does to this process ----
 
-    private void takeOver() {
-        try {
-            core.awaitReady();
-        } catch (InterruptedException e) {
-            return;
-        }
-        synchronized (this) {
-            if (notice.getCount() > 0) {
-                other = elder;
-                taking = true;
-                elder.takeOver(config.name());
-            }
-        }
+    @Override
+    public Terms terms() {
+        return new Terms(version.line(), version.handover(), version.log(),
+                appliance.durable() == null ? "" : appliance.durable().folder().toAbsolutePath().normalize().toString(),
+                config.settings().classes().stream().map(each -> {
+                    boolean keyed = each.repeat() == Admission.Repeat.KEYED;
+                    return new Terms.Kind(each.name(), keyed, keyed ? Math.round(each.window() * 1000) : 0);
+                }).toList(), config.settings().tenants().stream().map(Admission.Tenant::name).toList(),
+                new Terms.Room(0, 0, 0, 0));
     }
 
-    @Override
-    public synchronized void handed(Upgrade link) {
-        if (link == other && state == State.STARTING) {
-            takeRecords();
-            serveAlone(false);
-            link.sayListens();
-        }
+    private Server[] fronts() {
+        return uwsgi == null ? new Server[] {resp} : new Server[] {resp, uwsgi};
     }
 
-    /** Listens and reports from now on. */
-    private void serveAlone(boolean alone) {
-        for (Server front : uwsgi == null ? new Server[] {resp} : new Server[] {resp, uwsgi}) {
+    private boolean leaves() {
+        return state.ordinal() > State.CEDED.ordinal();
+    }
+
+    @Override
+    public boolean bind(boolean alone) {
+        boolean all = !leaves();
+        for (Server front : fronts()) {
             try {
-                front.listen(config.meeting() != null, alone);
-                front.start();
+                if (!leaves() && !front.listening()) {
+                    front.listen(config.meeting() != null, alone);
+                }
             } catch (IOException e) {
                 // Guards against one address that is taken ending the process that others rely on.
                 Logger.error("cannot listen at {}: {}", front.address(), e.getMessage());
+                all = false;
             }
         }
-        reporter.pause(false);
+        return all || leaves();
     }
 
     @Override
-    public synchronized void ceded(Upgrade link) {
-        if (link == other && state == State.STARTING) {
-            serveOn();
-        }
-    }
-
-    @Override
-    public synchronized void asked(Upgrade link) {
-        if (!link.knowsOver() && journal == null) {
-            // Guards against a process that could not be told what ran here: it waits until this one has ended.
-            Logger.warn("{}: an older build asks to take over; it can start once this process has ended", config.name());
-            return;
-        }
-        if (other == null) {
-            other = link;
-            halve(true);
-            // Guards against the connections of both being more than one process may have.
-            resp.sendAway((mostCallers - mostGateways) / 2);
-            int handed = core.handOver(link);
-            if (journal != null) {
-                journal.close(HAND_MS);   // only the owner of the keys writes, and it reads what is on disk by now
-            }
-            int over = core.handOverOver(link);
-            if (over < 0) {
-                Logger.warn("{}: the new process does not take what is known of keys, its link is closed", config.name());
-                link.close();   // and its loss is told
-                return;
+    public void accept() {
+        for (Server front : fronts()) {
+            if (front.listening()) {
+                front.start();
             }
-            link.sayHanded(handed + over);
-        } else {
-            // Guards against a further process that waits for ever, as the one before this has yet to end.
-            next = link;
         }
+        core.ceded(false);
+        reporter.pause(leaves());
     }
 
     @Override
-    public synchronized void listens(Upgrade link) {
-        if (link != other) {
-            return;
-        }
+    public void cede() {
         reporter.pause(true);
         core.ceded(true);
         stopFronts();
         if (state == State.SERVING) {
             enter(State.CEDED);
         }
-        link.sayCeded();
     }
 
-    /** The other process has ended: as was wanted, or before it could take over for good. */
     @Override
-    public synchronized void lost(Upgrade link) {
-        next = link == next ? null : next;
-        if (link != other || closed) {
-            return;
-        }
-        other = null;
-        if (journal != null && journal.state() == Journal.State.SHUT) {
-            takeRecords();
+    public boolean openRecords(int tries) {
+        if (journal == null || journal.state() != Journal.State.SHUT) {
+            return true;
         }
-        core.otherGone();
-        halve(false);
-        if (taking) {
-            taking = false;
-            if (state == State.STARTING) {
-                // Guards against standing beside a third process that took over first, while this one waited its turn.
-                elder = resp.listening() ? null : Upgrade.meet(config.meeting(), core, this);
-                if (elder != null) {
-                    halve(true);
-                    takeOver();
-                    return;
-                }
-                // It died within the take-over: its keys are as lost as at any kill.
-                if (!resp.listening()) {
-                    serveAlone(true);
-                }
-                serveOn();
+        for (int i = 0; i < tries; i++) {
+            try {
+                core.recovered(journal.open(longestWindow()));
+                return true;
+            } catch (IOException e) {
+                Logger.warn("kept results: {}", e.getMessage());
+                LockSupport.parkNanos(LOCK_MS * 1_000_000L);
             }
-            Core.thread("operators", this::awaitOperators).start();
-        } else if (state == State.CEDED) {
-            Logger.warn("{}: the new process has died, this one serves on", config.name());
-            core.ceded(false);
-            serveAlone(true);
-            serveOn();
-        }
-        if (next != null && state == State.SERVING) {
-            Upgrade waits = next;
-            next = null;
-            asked(waits);
         }
+        return false;
     }
 
-    private void awaitOperators() {
-        while (!operatorsIn() && !closed) {
-            LockSupport.parkNanos(AGAIN_MS * 1_000_000L);
+    @Override
+    public void closeRecords() {
+        if (journal != null) {
+            journal.close(HAND_MS);
         }
     }
 
@@ -386,14 +331,40 @@
      * This process serves from now on. Guards against a successor that is started on the word 'ready' and then
      * meets the process before this one: it can be met before it says so.
      */
-    private void serveOn() {
-        if (config.meeting() != null) {
-            Bytes.closeQuietly(successors);
-            successors = Upgrade.await(config.meeting(), core, this);
+    @Override
+    public void serveOn() {
+        if (leaves()) {
+            succession.leavesAsLast();
+            return;
         }
+        succession.awaitNext();
         enter(State.SERVING);
     }
 
+    @Override
+    public void refused(String reason) {
+        Logger.error("{} cannot take over from the process that serves: {}; it starts once that one has ended",
+                config.name(), reason);
+    }
+
+    @Override
+    public void unknownFail() {
+        Logger.warn("{}: keys of the process that has ended are not known here: unknown ones fail for {} s", config.name(),
+                Math.round(longestWindow()));
+        core.partner().unknownFail(longestWindow());
+    }
+
+    @Override
+    public void otherEnded() {
+        Core.thread("operators", this::awaitOperators).start();
+    }
+
+    private void awaitOperators() {
+        while (!operatorsIn() && !closed) {
+            LockSupport.parkNanos(AGAIN_MS * 1_000_000L);
+        }
+    }
+
     private void stopFronts() {
         resp.stopListening();
         for (Server.Connection connection : resp.connections()) {
@@ -532,7 +503,7 @@
     public void serveUntilStopped() throws InterruptedException {
         notice.await();
         boolean alone;
-        synchronized (this) {
+        synchronized (succession) {
             alone = state != State.CEDED;
             enter(State.LEAVING);
         }
@@ -556,8 +527,9 @@
         do {
             core.awaitDrained(Math.max(0, left() - LAST));
             Thread.sleep(CLOSE_LOOK_MS);
-        } while (left() > LAST && !(resp.connections().isEmpty()
-                && (uwsgi == null || uwsgi.connections().isEmpty())));
+            // Who is the last to know the keys of this box stays while it may: a further process can still be told.
+        } while (left() > LAST && (succession.lastHolder() || !(resp.connections().isEmpty()
+                && (uwsgi == null || uwsgi.connections().isEmpty()))));
         for (Server.Connection connection : resp.connections()) {
             connection.awaitWritten(Math.max(0, (long) ((left() - LAST / 2) * 1000)));
         }
@@ -569,8 +541,15 @@
 
     /** Gives all addresses back; what is open is cut. */
     @Override
-    public synchronized void close() {
+    public void close() {
         closed = true;
+        succession.close();
+        synchronized (this) {
+            closeAll();
+        }
+    }
+
+    private void closeAll() {
         resp.close();
         if (uwsgi != null) {
             uwsgi.close();
@@ -584,10 +563,6 @@
         if (snmp != null) {
             snmp.close();
         }
-        Bytes.closeQuietly(successors);
-        if (other != null) {
-            other.close();
-        }
     }
 
     private double left() {
--- a/src/main/java/wharftrestle/core/Core.java
+++ b/src/main/java/wharftrestle/core/Core.java
@@ -1,14 +1,9 @@
 package wharftrestle.core;
 
-import java.io.IOException;
 import java.util.ArrayDeque;
-import java.util.Arrays;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.SynchronousQueue;
@@ -19,7 +14,6 @@
 import org.tinylog.Logger;
 import wharftrestle.policy.Admission;
 import wharftrestle.policy.Admission.Outcome;
-import wharftrestle.keys.Digest;
 import wharftrestle.keys.KeyRoom;
 import wharftrestle.keys.KeyState;
 import wharftrestle.keys.KeyTable;
@@ -29,7 +23,8 @@
 import wharftrestle.ops.ResultFigure;
 
 /**
- * Owns the requests in hand, the keys with their results, and the one lock that guards the decision module.
+ * Owns the requests in hand, the keys with their results, and the one lock that guards the decision module; {@link
+ * Recorder} has what concerns the disk, {@link Partner} the other process of the box.
  * Events enter the module here, one at a time and with a clock that never goes back; what the module asks for
  * comes back inside the event and only becomes a step of the request concerned, which that request's own
  * thread carries out. It must never read or write a socket under the lock, never decide what the module
@@ -107,43 +102,6 @@
         void ended(Outcome outcome, byte[] reply);
     }
 
-    /** What one process tells the other of a key while two serve one box; the body tells what it was asked. */
-    public record Kept(String key, boolean finished, long lastDoor, double secondsLeft, byte[] body, byte[] result) { }
-
-    /** A key that is over, as one process tells it the other: by its digest, as its text is not kept. */
-    public record Over(Digest key, long lastDoor, double secondsLeft, long check, byte[] result) { }
-
-    /** The other process of this box during an upgrade. Only {@link #tellSurely} and {@link #tellOver} may wait. */
-    public interface Other {
-        /** Tells a key that is over; returns once few such words wait, false where the other side takes none in time. */
-        boolean tellOver(Over over);
-
-        /** Asks whether this key may be held and run here. */
-        void claim(String key, long door, byte[] body);
-
-        void granted(String key);
-
-        void tell(Kept kept);
-
-        /** Returns once the word is on its way, whatever then becomes of this process, or the other is gone. */
-        void tellSurely(Kept kept);
-
-        /** A key of this side has ended; the result is null unless it ended well. */
-        void ended(String key, byte[] result);
-
-        /** A key of this side never ran and is not held any more. */
-        void freed(String key);
-
-        /** Asks the side that writes to have the intent of this side's run on disk. */
-        void intend(String key, long door, byte[] body);
-
-        /** The other side's intent is on disk, or cannot be. */
-        void intended(String key, boolean written);
-
-        /** The result of the other side's run is on disk, or could not be written. */
-        void saved(String key);
-    }
-
     /** Makes the module once the worker pool is up. */
     public interface Factory {
         Admission.Events create(double now, long seed, Admission.Settings settings, Admission.Actions actions);
@@ -176,60 +134,6 @@
     private static final int MUCH_IN_HAND = 32;
     private static final double MOMENT = 0.001;
 
-    private enum Kind { INTEND, SPAWN, SUPPLY, PASS, SUSPEND, CALL, ABANDON, REPLAY, ANSWER }
-
-    private record Step(Kind kind, byte[] bytes, double until, Answer answer) {
-        static Step of(Kind kind) {
-            return new Step(kind, null, 0, null);
-        }
-    }
-
-    /** One request in hand. All but the final fields is guarded by the lock. */
-    private static final class Task {
-        final long id;
-        final Arrival arrival;
-        final String key;      // of this class and tenant only: another's result is never theirs
-        final Caller caller;
-        final Condition signal;
-        final ArrayDeque<Step> steps = new ArrayDeque<>();
-        double backstop;
-        boolean answered;      // or its caller is gone: the one state change
-        boolean spawned;       // a run was asked for
-        boolean runOver;       // and is known to be over
-        boolean attached;
-        double since;          // start or attachment
-        long notice;           // of the call it stands at
-        byte[] callBody;
-        Call call;
-        boolean callFailed;    // not by time: what the module then fails did not lapse
-        int callNumber;
-        double callSince;
-        KeyTable.Entry<Task> entry;
-        boolean arrived;       // at the module, or before it
-        boolean granted;       // its key, by the process that owns all keys
-        Object intent;         // on its way to the disk
-        double recordBy;       // or its run is not begun
-        boolean promised;      // room to know its key to the end
-        boolean unsent;        // a run was decided and turned away: the worker pool never hears of it
-
-        Task(long id, Arrival arrival, Caller caller, Condition signal) {
-            this.id = id;
-            this.arrival = arrival;
-            this.key = arrival.key() == null ? null
-                    : arrival.classIndex() + "/" + arrival.tenantIndex() + "/" + arrival.key();
-            this.caller = caller;
-            this.signal = signal;
-        }
-
-        boolean sameKey(Task that) {
-            return key.equals(that.key);
-        }
-
-        boolean over() {
-            return answered && (!spawned || runOver);
-        }
-    }
-
     private record Wake(double at, long label) { }
 
     private final ReentrantLock lock = new ReentrantLock();
@@ -251,8 +155,6 @@
     private Pool pool;
     private Store store;
     private volatile long indexBytes;
-    private volatile Records records;        // null where no results are kept
-    private int mostRecorded;
     private Watcher watcher = good -> { };
     private Admission.Events module;
     private double clock;
@@ -267,9 +169,8 @@
     private volatile boolean lameDuck;
     private volatile boolean ceded;
     private final CountDownLatch up = new CountDownLatch(1);
-    private final Set<Task> asking = new HashSet<>();
-    private Other other;
-    private boolean owner = true;   // of all keys of this box, also while two processes serve it
+    private final Partner partner;
+    private final Recorder recorder;
     private volatile double idleLimit;
 
     /**
@@ -281,6 +182,9 @@
             Counters counters) {
         this.room = room;
         keys = new KeyTable<>(this::endsWith, room);
+        partner = new Partner(this, keys);
+        recorder = new Recorder(this, keys, room, partner.between());
+        partner.records(recorder);
         this.settings = settings;
         this.seed = seed;
         this.factory = factory;
@@ -302,12 +206,7 @@
     public void record(Records kept) {
         lock.lock();
         try {
-            records = kept;
-            mostRecorded = Math.min(kept.mostKeys(), room.mostKeysOnDisk());
-            if (mostRecorded < kept.mostKeys()) {
-                Logger.warn("memory holds {} keys of the {} that are set", mostRecorded, kept.mostKeys());
-            }
-            keys.record(mostRecorded);
+            recorder.record(kept);
         } finally {
             lock.unlock();
         }
@@ -336,13 +235,12 @@
 
     /** The figures of kept results; empty where none are kept. */
     public Map<ResultFigure, Long> results() {
-        Records kept = records;
-        if (kept == null) {
-            return Map.of();
-        }
-        Map<ResultFigure, Long> all = kept.figures();
-        all.put(ResultFigure.INDEX_BYTES, indexBytes);
-        return all;
+        return recorder.figures(indexBytes);
+    }
+
+    /** What the other process of this box says and is told. */
+    public Partner partner() {
+        return partner;
     }
 
     /** A platform thread with a small stack that does not keep the process alive. */
@@ -418,7 +316,7 @@
         } finally {
             lock.unlock();
         }
-        if (!mustAsk(task)) {
+        if (!partner.mustAsk(task)) {
             arrive(task);   // on the thread that read it: most of what is refused needs no other
         }
         if (overAtOnce(task)) {
@@ -453,7 +351,7 @@
             task.arrived = true;
             answer(task, Answer.failed());
             if (task.spawned) {
-                task.steps.removeIf(step -> step.kind() != Kind.ANSWER);   // no run was begun
+                task.steps.removeIf(step -> step.kind() != Task.Kind.ANSWER);   // no run was begun
                 tellRunOver(task, Outcome.VOID, 0, null);
             } else if (byId.containsKey(task.id)) {
                 module.callerLeft(now(), task.id);
@@ -476,7 +374,7 @@
                 if (!task.answered) {
                     counters.answered(task.arrival.classIndex(), Result.ABORTED);
                 }
-                owed = !task.answered || task.steps.removeIf(step -> step.kind() == Kind.ANSWER);
+                owed = !task.answered || task.steps.removeIf(step -> step.kind() == Task.Kind.ANSWER);
                 task.answered = true;
                 forget(task);
             } finally {
@@ -492,15 +390,15 @@
     private void live(Task task) {
         Arrival arrival = task.arrival;
         if (!task.arrived) {
-            askOther(task);
+            partner.ask(task);
             arrive(task);
         }
-        for (Step step = next(task); step != null; step = next(task)) {
+        for (Task.Step step = next(task); step != null; step = next(task)) {
             switch (step.kind()) {
                 case INTEND -> intend(task);
                 case SPAWN -> {
                     counters.add(Count.RUNS);
-                    tellOther(task);
+                    partner.tellBeforeRun(task);
                     pool.spawn(arrival.ref(), settings.classes().get(arrival.classIndex()).name(), arrival.body());
                 }
                 case CALL -> {
@@ -525,7 +423,7 @@
                 return;
             }
             KeyTable.Entry<Task> known = task.key == null ? null : keys.find(task.key);
-            boolean ran = known != null && known.ran() || task.key != null && !owner;
+            boolean ran = known != null && known.ran() || task.key != null && !partner.between().owner();
             if (byId.size() >= most) {
                 // Guards against threads filling the memory in a flood: what finds none is turned away unread by
                 // the module, or failed where another try of it ran.
@@ -556,7 +454,7 @@
             sweepKeys(now);
             KeyTable.Entry<Task> prior = task.key == null ? null : keys.meet(task.key, a.door());
             boolean repeat = prior != null;
-            if (task.key != null && !repeat && !owner && other != null && !task.granted) {
+            if (task.key != null && !repeat && partner.unasked(task)) {
                 // Guards against a second run of a key, or its refusal after one: the process that owns it is silent.
                 answer(task, Answer.late());
                 return;
@@ -567,12 +465,11 @@
                 answer(task, Answer.conflict());
                 return;
             }
-            Records.Refusal why = task.key == null || repeat || records == null || !owner ? null
-                    : keys.size() >= mostRecorded ? Records.Refusal.KEYS_FULL : records.refusal();
+            Records.Refusal why = task.key == null || repeat ? null : recorder.refusal();
             if (why != null) {
                 // Guards against holding what could not be recorded when its turn comes.
                 counters.add(Count.GUARDED);
-                answer(task, unrecorded(why));
+                answer(task, recorder.unrecorded(why));
                 return;
             }
             if (task.key != null && !repeat && !promise(task)) {
@@ -594,16 +491,16 @@
         return Math.max(0, (System.currentTimeMillis() - a.door()) / 1000.0);
     }
 
-    private double due(Arrival a, double now) {
+    double due(Arrival a, double now) {
         return Math.min(now - lay(a) + settings.classes().get(a.classIndex()).deadline() + BACKSTOP, stopAt);
     }
 
     /** The request's next step; null once it is answered and nothing of it runs. */
-    private Step next(Task task) {
+    private Task.Step next(Task task) {
         lock.lock();
         try {
             for (;;) {
-                Step step = task.steps.poll();
+                Task.Step step = task.steps.poll();
                 if (step != null) {
                     return step;
                 }
@@ -612,10 +509,10 @@
                     return null;
                 }
                 double wait = task.backstop - now();
-                if (recording(task)) {
+                if (recorder.recording(task)) {
                     wait = Math.min(wait, task.recordBy - now());
                     if (now() >= task.recordBy) {
-                        neverBegun(task, Records.Refusal.DISK_STALLED);
+                        recorder.neverBegun(task, Records.Refusal.DISK_STALLED);
                         continue;
                     }
                 }
@@ -665,10 +562,7 @@
         }
         byId.remove(task.id);
         byRef.remove(task.arrival.ref(), task);
-        if (other != null && task.key != null && keys.find(task.key) == null
-                && byId.values().stream().noneMatch(task::sameKey) && asking.stream().noneMatch(task::sameKey)) {
-            other.freed(task.key);
-        }
+        partner.forgotten(task, byId.values());
         if (byId.isEmpty()) {
             drained.signalAll();
         }
@@ -696,7 +590,7 @@
         }
     }
 
-    private void answer(Task task, Answer answer) {
+    void answer(Task task, Answer answer) {
         if (!task.answered) {
             // Each request is counted here and once, whatever front, replay or guard its answer comes by.
             counters.answered(task.arrival.classIndex(), switch (answer.kind()) {
@@ -705,7 +599,7 @@
                 case FAILED, LATE, CONFLICT -> Result.ABORTED;
             });
             markAnswered(task);
-            step(task, new Step(Kind.ANSWER, null, 0, answer));
+            step(task, new Task.Step(Task.Kind.ANSWER, null, 0, answer));
         }
     }
 
@@ -715,15 +609,14 @@
         task.signal.signal();
     }
 
-    private void step(Task task, Step step) {
-        task.steps.add(step);
-        task.signal.signal();
+    private void step(Task task, Task.Step step) {
+        task.step(step);
     }
 
     // ---- Time and the module ----
 
     /** Seconds on a clock that never goes back; under the lock. */
-    private double now() {
+    double now() {
         clock = Math.max(clock, System.nanoTime() / 1e9);
         return clock;
     }
@@ -845,20 +738,20 @@
         }
     }
 
-    private void tellRunOver(Task task, Outcome outcome, double elapsed, byte[] result) {
-        if (!recording(task) && !task.unsent) {
+    void tellRunOver(Task task, Outcome outcome, double elapsed, byte[] result) {
+        if (!recorder.recording(task) && !task.unsent) {
             counters.add(outcome == Outcome.SUCCESS ? Count.RUNS_GOOD : Count.RUNS_OTHER);
         }
         task.runOver = true;
         task.callNumber++;
         if (task.call != null) {
-            step(task, Step.of(Kind.ABANDON));
+            step(task, Task.Step.of(Task.Kind.ABANDON));
         }
         boolean waits = false;
         if (task.entry != null && task.entry.holder() == task) {
             if (outcome == Outcome.VOID) {
-                if (records != null && task.entry.state() == KeyState.RUNNING) {
-                    voided(task.entry);
+                if (task.entry.state() == KeyState.RUNNING) {
+                    recorder.voided(task.entry);
                 }
                 keys.neverRan(task.entry);
             } else {
@@ -895,7 +788,7 @@
 
     // ---- Calls ----
 
-    private void beginCall(Task task, Step step) {
+    private void beginCall(Task task, Task.Step step) {
         byte[] body;
         int number;
         long timeout;
@@ -949,7 +842,7 @@
             task.callFailed = outcome != Outcome.SUCCESS && outcome != Outcome.TIMED_OUT;
             double now = now();
             if (outcome == Outcome.SUCCESS) {
-                step(task, new Step(Kind.SUPPLY, reply, 0, null));
+                step(task, new Task.Step(Task.Kind.SUPPLY, reply, 0, null));
             }
             module.callEnded(now, task.id, outcome, now - task.callSince);
             settleSoon(now);
@@ -961,137 +854,33 @@
     // ---- Keys ----
 
     /** A run of this key is over; the result is null unless it ended well. True where its answer waits for the disk. */
-    private boolean finish(KeyTable.Entry<Task> entry, byte[] result) {
-        if (other != null && entry.holder() != null && keys.current(entry)) {
-            other.ended(entry.key(), result);
-        }
+    boolean finish(KeyTable.Entry<Task> entry, byte[] result) {
+        partner.between().tellEnd(entry, result);
         boolean ran = entry.state() == KeyState.RUNNING || entry.state() == KeyState.ELSEWHERE;
         keys.ran(entry, result);
-        if (records != null && owner && ran) {
-            save(entry, result);
+        if (ran) {
+            recorder.ended(entry, result);
         }
+        partner.between().follow(entry.key(), recorder.on(), now());
         return entry.state() == KeyState.SAVING;
     }
 
-    // ---- Intents and results on disk ----
-
-    private Records.Keyed keyed(KeyTable.Entry<Task> entry) {
-        String key = entry.key();
-        double window = window(Integer.parseInt(key.substring(0, key.indexOf('/')))) + KeyTable.SLACK;   // class leads
-        return new Records.Keyed(key, entry.lastDoor(), window, entry.asked().brief());
-    }
-
-    private boolean recording(Task task) {
-        return task.entry != null && task.entry.holder() == task && task.entry.state() == KeyState.RECORDING;
-    }
-
-    private Answer unrecorded(Records.Refusal why) {
-        return Answer.refused(Math.min(settings.maxRetryAfter(), records.again(why)), false);
-    }
-
-    /** Has the intent of a run written; word of that is its next step, or its refusal. */
-    private void intend(Task task) {
-        lock.lock();
-        try {
-            if (!recording(task)) {
-                return;
-            }
-            if (!owner && other != null) {
-                // The other process writes: its word comes by recordedElsewhere.
-                task.recordBy = now() + 2 * records.patience();
-                other.intend(task.key, task.arrival.door(), task.arrival.body());
-                return;
-            }
-            task.recordBy = now() + records.patience();
-            task.intent = records.intend(keyed(task.entry), place -> intended(task, place >= 0));
-            if (task.intent == null) {
-                Records.Refusal why = records.refusal();
-                neverBegun(task, why == null ? Records.Refusal.STORE_FULL : why);
-            }
-        } finally {
-            lock.unlock();
-        }
-    }
-
-    private void intended(Task task, boolean written) {
-        lock.lock();
-        try {
-            if (!recording(task)) {
-                return;   // withdrawn meanwhile
-            }
-            if (!written) {
-                neverBegun(task, Records.Refusal.DISK_FAILED);
-            } else if (task.answered) {
-                // Nobody waits any more, and nothing ran: a further try may.
-                neverBegun(task, null);
-            } else {
-                keys.recorded(task.entry);
-                step(task, Step.of(Kind.SPAWN));
-            }
-        } finally {
-            lock.unlock();
-        }
-    }
-
-    /** A run that was decided is not begun, and its key is free again. */
-    private void neverBegun(Task task, Records.Refusal why) {
-        if (task.intent != null) {
-            records.withdraw(task.intent, keyed(task.entry));
-        }
-        if (why != null) {
-            counters.add(Count.GUARDED);
-            answer(task, unrecorded(why));
-        }
-        task.steps.removeIf(step -> step.kind() == Kind.INTEND || step.kind() == Kind.SUSPEND);
-        tellRunOver(task, Outcome.VOID, 0, null);
-    }
-
-    private void voided(KeyTable.Entry<Task> entry) {
-        if (owner) {
-            records.voided(keyed(entry));
-        }
-    }
-
-    private void save(KeyTable.Entry<Task> entry, byte[] result) {
-        records.ended(keyed(entry), result, place -> saved(entry, place));
-    }
-
-    /** A result is on disk, or with a place below 0 cannot be: its intent is, so it never runs again, and is answered. */
-    private void saved(KeyTable.Entry<Task> entry, long place) {
+    /** The result of a settled key goes out again, byte for byte. */
+    private void replay(Task task) {
+        byte[] result = recorder.read(task.key, task.entry.place());
         lock.lock();
         try {
-            if (entry.state() != KeyState.SAVING) {
-                return;
-            }
-            keys.saved(entry, place);
-            if (entry.holder() != null) {
-                answer(entry.holder(), Answer.served(keys.result(entry)));
-                if (other != null && !owner) {
-                    other.ended(entry.key(), keys.result(entry));   // it was on its way when the keys were handed over
-                }
-            } else if (other != null) {
-                other.saved(entry.key());
-            }
-            if (module != null) {
-                settleSoon(now());
-            }
+            endWith(task, result);
+            settleIfUp();
         } finally {
             lock.unlock();
         }
     }
 
-    /** The result of a settled key goes out again, byte for byte. */
-    private void replay(Task task) {
-        byte[] result = null;
-        try {
-            result = records.read(task.key, task.entry.place());
-        } catch (IOException e) {
-            Logger.error("a kept result cannot be read: {}", e.toString());
-        }
+    private void intend(Task task) {
         lock.lock();
         try {
-            endWith(task, result);
-            settleIfUp();
+            recorder.intend(task);
         } finally {
             lock.unlock();
         }
@@ -1105,7 +894,7 @@
     private void endAttached(Task task, KeyTable.Entry<Task> entry) {
         if (!task.answered && entry != null && entry.onDisk() && keys.result(entry) == null) {
             task.entry = entry;
-            step(task, Step.of(Kind.REPLAY));   // it lies on disk: no reading here, under the lock
+            step(task, Task.Step.of(Task.Kind.REPLAY));   // it lies on disk: no reading here, under the lock
             return;
         }
         endWith(task, entry == null ? null : keys.result(entry));
@@ -1141,112 +930,31 @@
         keysSwept = now;
         keys.expire(now);
         indexBytes = keys.settledBytes();
-        counters.kept(new Counters.Kept(keys.size(), records == null ? room.mostKeys() : mostRecorded,
+        counters.kept(new Counters.Kept(keys.size(), recorder.mostKeys(),
                 keys.settledBytes() + keys.resultBytes(), room.bytes()));
     }
 
-    private double window(int classIndex) {
-        return settings.classes().get(classIndex).window();
+    /** Seconds; for a class that only the other process of the box knows, the longest of all. */
+    double window(int classIndex) {
+        return classIndex < settings.classes().size() ? settings.classes().get(classIndex).window()
+                : settings.classes().stream().mapToDouble(Admission.RequestClass::window).max().orElse(0);
     }
 
-    // ---- Two processes in one box: the one owns all keys, the other ends what it has ----
-
-    /**
-     * In one step hands all keys over, and with them the say about every further one. What is held or runs here
-     * stays here; its end is told.
-     */
-    public int handOver(Other to) {
-        lock.lock();
-        try {
-            other = to;
-            owner = false;
-            keys.each(entry -> to.tell(kept(entry)));
-            share(HALF);
-            return keys.size();
-        } finally {
-            lock.unlock();
-        }
+    /** Bytes of results that are kept in memory at most. */
+    long mostResultBytes() {
+        return room.mostResultBytes();
     }
 
-    /**
-     * What is known of keys that are over follows {@link #handOver}: they never change, and until the other process
-     * listens this one answers their repeats. Waits for the other side, so the lock is held for one key at a time.
-     *
-     * @return how many, or -1 where the other side did not take them
-     */
-    public int handOverOver(Other to) {
-        List<Digest> all;
+    void lock() {
         lock.lock();
-        try {
-            all = keys.settled();
-        } finally {
-            lock.unlock();
-        }
-        int told = 0;
-        for (Digest key : all) {
-            Over over = null;
-            lock.lock();
-            try {
-                KeyTable.Settled known = keys.settled(key);
-                // What lies on disk is read there.
-                if (known != null && (records == null || known.result() != null)) {
-                    over = new Over(key, known.lastDoor(), known.until() - now(), known.check(), known.result());
-                }
-            } finally {
-                lock.unlock();
-            }
-            if (over != null) {
-                if (!to.tellOver(over)) {
-                    return -1;
-                }
-                told++;
-            }
-        }
-        return told;
-    }
-
-    /** The other process knew this key, which is over. */
-    public void heardOver(Over over) {
-        lock.lock();
-        try {
-            double until = now() + over.secondsLeft();
-            if (!keys.hear(new KeyTable.Settled(over.key().high(), over.key().low(), over.lastDoor(), over.check(), until,
-                    over.result()))) {
-                // Guards against a second run of a key that there is no room to know: less memory than the other had.
-                keys.blind(until);
-            }
-        } finally {
-            lock.unlock();
-        }
     }
 
-    /** From here on the other process of this box is known; its keys follow, and this one is to own them all. */
-    public void join(Other from) {
-        lock.lock();
-        try {
-            other = from;
-            share(HALF);
-        } finally {
-            lock.unlock();
-        }
+    void unlock() {
+        lock.unlock();
     }
 
-    /** The other process is gone: what it had in hand has an unknown end, which fails and never runs again. */
-    public void otherGone() {
-        lock.lock();
-        try {
-            other = null;
-            owner = true;
-            keys.otherGone();
-            if (records != null) {
-                // What the other process was to write is written here.
-                keys.unsaved().forEach(entry -> save(entry, keys.result(entry)));
-            }
-            asking.forEach(task -> task.signal.signal());
-            share(1);
-        } finally {
-            lock.unlock();
-        }
+    void count(Count count) {
+        counters.add(count);
     }
 
     private void share(double part) {
@@ -1256,223 +964,23 @@
         }
     }
 
-    private Kept kept(KeyTable.Entry<Task> entry) {
-        double now = now();
-        if (entry.ran()) {
-            return new Kept(entry.key(), entry.over(), entry.lastDoor(), entry.until() - now, entry.asked().body(),
-                    keys.result(entry));
-        }
-        double window = window(entry.holder().arrival.classIndex()) + KeyTable.SLACK;
-        return new Kept(entry.key(), false, entry.holder().arrival.door() + Math.round(window * 1000),
-                window + KeyTable.LINGER, entry.asked().body(), null);
-    }
-
-    /** The other process has this key in hand, or had. */
-    public void heardOf(Kept kept) {
-        lock.lock();
-        try {
-            keys.hear(kept.key(), KeyTable.Asked.of(kept.body()), kept.lastDoor(), now() + kept.secondsLeft());
-            KeyTable.Entry<Task> known = keys.find(kept.key());
-            if (kept.finished() && keys.elsewhere(known)) {
-                finish(known, kept.result());
-            }
-            wakeAsking(kept.key(), false);
-            settleIfUp();
-        } finally {
-            lock.unlock();
-        }
-    }
-
-    public void endedElsewhere(String key, byte[] result) {
-        lock.lock();
-        try {
-            KeyTable.Entry<Task> entry = keys.find(key);
-            if (keys.elsewhere(entry)) {
-                finish(entry, result);
-                settleIfUp();
-            }
-        } finally {
-            lock.unlock();
-        }
-    }
-
-    public void freedElsewhere(String key) {
-        lock.lock();
-        try {
-            KeyTable.Entry<Task> entry = keys.find(key);
-            if (keys.elsewhere(entry)) {
-                if (records != null) {
-                    voided(entry);
-                }
-                keys.freed(entry);
-                settleIfUp();
-            }
-        } finally {
-            lock.unlock();
-        }
-    }
-
-    /** The other process asks for a key: it is told what is known of it, or has it in hand from now on. */
-    public void claimed(String key, long door, byte[] body) {
-        double window = window(Integer.parseInt(key.substring(0, key.indexOf('/')))) + KeyTable.SLACK;   // class leads
-        KeyTable.Entry<Task> entry;
-        Other asks;
-        byte[] inMemory;
-        lock.lock();
-        try {
-            asks = other;
-            entry = keys.meet(key, door);
-            if (asks == null) {
-                return;
-            }
-            if (entry == null || keys.elsewhere(entry)) {
-                if (entry == null) {
-                    keys.hear(key, KeyTable.Asked.of(body), door + Math.round(window * 1000),
-                            now() + window + KeyTable.LINGER);
-                }
-                asks.granted(key);
-                return;
-            }
-            if (entry.asked().body() != null) {
-                asks.tell(kept(entry));
-                return;
-            }
-            inMemory = keys.result(entry);
-        } finally {
-            lock.unlock();
-        }
-        // A settled key: its result is read from disk, so not under the lock.
-        byte[] result = inMemory;
-        try {
-            result = entry.onDisk() ? records.read(key, entry.place()) : inMemory;
-        } catch (IOException e) {
-            Logger.error("a kept result cannot be read: {}", e.toString());
-        }
-        byte[] asked = entry.asked().same(body) ? body : Arrays.copyOf(body, body.length + 1);
-        asks.tell(new Kept(key, true, entry.lastDoor(), window + KeyTable.LINGER, asked, result));
+    /** The other process of the box came or went; under the lock. */
+    void halved(boolean half) {
+        share(half ? HALF : 1);
     }
 
-    /** The other process is about to run a key that it has in hand: its intent is written here. */
-    public void intendElsewhere(String key, long door, byte[] body) {
-        lock.lock();
-        try {
-            Other asks = other;
-            KeyTable.Entry<Task> entry = keys.find(key);
-            if (asks == null) {
-                return;
-            }
-            boolean asked = records != null && keys.elsewhere(entry)
-                    && records.intend(keyed(entry), place -> asks.intended(key, place >= 0)) != null;
-            if (!asked) {
-                asks.intended(key, false);
-            }
-        } finally {
-            lock.unlock();
-        }
-    }
-
-    public void intentElsewhere(String key, boolean written) {
-        lock.lock();
-        try {
-            KeyTable.Entry<Task> entry = keys.find(key);
-            if (entry != null && entry.holder() != null) {
-                intended(entry.holder(), written);
-                settleIfUp();
-            }
-        } finally {
-            lock.unlock();
-        }
-    }
-
-    public void savedElsewhere(String key) {
-        lock.lock();
-        try {
-            KeyTable.Entry<Task> entry = keys.find(key);
-            if (entry != null) {
-                saved(entry, -1);
-            }
-        } finally {
-            lock.unlock();
-        }
-    }
-
-    public void granted(String key) {
-        lock.lock();
-        try {
-            wakeAsking(key, true);
-        } finally {
-            lock.unlock();
-        }
-    }
-
-    private void wakeAsking(String key, boolean granted) {
-        for (Task task : asking) {
-            if (key.equals(task.key)) {
-                task.granted |= granted;
-                task.signal.signal();
-            }
+    void settleSoonIfUp() {
+        if (module != null) {
+            settleSoon(now());
         }
     }
 
-    private void settleIfUp() {
+    void settleIfUp() {
         if (module != null) {
             settle(now());
         }
     }
 
-    /** A keyed request that this process reads after it handed all keys over waits for the owner's word. */
-    private void askOther(Task task) {
-        lock.lock();
-        try {
-            Arrival a = task.arrival;
-            if (!mustAsk(task)) {
-                return;
-            }
-            asking.add(task);
-            other.claim(task.key, a.door(), a.body());
-            double due = due(a, now());
-            while (other != null && !task.granted && !task.answered && !known(task) && now() < due) {
-                task.signal.awaitNanos((long) ((due - now()) * 1e9) + 1);
-            }
-            asking.remove(task);
-        } catch (InterruptedException e) {
-            throw new IllegalStateException("nobody interrupts a request", e);
-        } finally {
-            lock.unlock();
-        }
-    }
-
-    private boolean mustAsk(Task task) {
-        lock.lock();
-        try {
-            return other != null && !owner && task.key != null && !known(task);
-        } finally {
-            lock.unlock();
-        }
-    }
-
-    private boolean known(Task task) {
-        KeyTable.Entry<Task> entry = keys.find(task.key);
-        return entry != null && entry.covers(task.arrival.door());
-    }
-
-    /** Guards against a second run should this process die early: the other one knows of this one before it begins. */
-    private void tellOther(Task task) {
-        Other told;
-        Kept kept;
-        lock.lock();
-        try {
-            if (other == null || !owner || task.key == null) {
-                return;
-            }
-            told = other;
-            kept = kept(task.entry);
-        } finally {
-            lock.unlock();
-        }
-        told.tellSurely(kept);
-    }
-
     // ---- What the module asks for: each becomes a step of the request concerned ----
 
     @Override
@@ -1508,7 +1016,7 @@
             }
         }
         task.spawned = true;
-        step(task, Step.of(recording(task) ? Kind.INTEND : Kind.SPAWN));
+        step(task, Task.Step.of(recorder.recording(task) ? Task.Kind.INTEND : Task.Kind.SPAWN));
     }
 
     @Override
@@ -1535,14 +1043,14 @@
     @Override
     public void stop(long id) {
         Task task = byId.get(id);
-        if (task != null && recording(task)) {
+        if (task != null && recorder.recording(task)) {
             pending.add(() -> {
-                if (recording(task)) {
-                    neverBegun(task, null);
+                if (recorder.recording(task)) {
+                    recorder.neverBegun(task, null);
                 }
             });
         } else if (task != null && task.spawned && !task.runOver) {
-            step(task, Step.of(Kind.SUSPEND));
+            step(task, Task.Step.of(Task.Kind.SUSPEND));
         }
     }
 
@@ -1551,7 +1059,7 @@
         Task task = byId.get(id);
         if (task != null && !task.runOver) {
             task.callSince = now();
-            step(task, new Step(Kind.CALL, null, notPast, null));
+            step(task, new Task.Step(Task.Kind.CALL, null, notPast, null));
         }
     }
 
@@ -1559,7 +1067,7 @@
     public void skipCall(long id) {
         Task task = byId.get(id);
         if (task != null && !task.runOver) {
-            step(task, new Step(Kind.PASS, null, task.notice, null));
+            step(task, new Task.Step(Task.Kind.PASS, null, task.notice, null));
         }
     }
 
--- a/src/main/java/wharftrestle/keys/KeyRoom.java
+++ b/src/main/java/wharftrestle/keys/KeyRoom.java
@@ -74,6 +74,11 @@
         return mostBlocks;
     }
 
+    /** Bytes of results at once, whole blocks. */
+    public long mostResultBytes() {
+        return (long) mostBlocks * Blocks.COST;
+    }
+
     /** Requests in hand that have a promise. */
     public int promises() {
         return promises;
--- a/src/test/java/wharftrestle/BordersTest.java
+++ b/src/test/java/wharftrestle/BordersTest.java
@@ -10,7 +10,8 @@
 /** Decisions stand apart from sockets, files, threads and clocks. */
 @AnalyzeClasses(packages = "wharftrestle", importOptions = ImportOption.DoNotIncludeTests.class)
 class BordersTest {
-    private static final String[] DECISIONS = {"wharftrestle.policy..", "wharftrestle.keys.."};
+    private static final String[] DECISIONS = {"wharftrestle.policy..", "wharftrestle.keys..",
+        "wharftrestle.handover.."};
 
     @ArchTest
     static final ArchRule decisionsTouchNoOutsideWorld = noClasses().that().resideInAnyPackage(DECISIONS)
--- a/src/test/java/wharftrestle/Loopback.java
+++ b/src/test/java/wharftrestle/Loopback.java
@@ -316,7 +316,11 @@
 
     /** Waits until this process takes clients. */
     void awaitTaking() throws IOException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(2 * WAIT_S);
         while (!get("/_ready").startsWith("HTTP/1.1 200 ")) {
+            if (System.nanoTime() > until) {
+                throw new IOException("it takes no clients: " + get("/_status"));
+            }
             Thread.onSpinWait();
         }
     }
