--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -388,6 +388,17 @@
         return core;
     }
 
+    @Override
+    public Version version() {
+        return version;
+    }
+
+    @Override
+    public String handover() {
+        String why = succession.refusal();
+        return succession.state().name().toLowerCase(Locale.ROOT) + (why.isEmpty() ? "" : ": " + why);
+    }
+
     @Override
     public Counters counters() {
         return counters;
--- a/src/main/java/wharftrestle/Main.java
+++ b/src/main/java/wharftrestle/Main.java
@@ -1,9 +1,12 @@
 package wharftrestle;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import org.tinylog.Logger;
 import org.tinylog.provider.ProviderRegistry;
@@ -18,6 +21,7 @@
 import wharftrestle.ops.Console;
 import wharftrestle.settings.BadSettingsException;
 import wharftrestle.settings.Settings;
+import wharftrestle.version.Build;
 import wharftrestle.policy.GroupEdfScheduler;
 import wharftrestle.wire.WireAdapter;
 
@@ -121,7 +125,7 @@
 
     /** The operator's terminal. */
     @Command(name = "console",
-            description = "call a running daemon: ready, vars, lameduck on, lameduck off, status, results, counters, drain")
+            description = "call a running daemon: ready, vars, lameduck on, lameduck off, status, version, results, counters, drain")
     static final class Attach implements Callable<Integer> {
         @Option(names = "--at",
                 description = "the daemon's console address; default: $EDGE_CONSOLE, else control in --appliance")
@@ -305,10 +309,30 @@
     /** What this is. */
     @Command(name = "version", description = "print the version")
     static final class Version implements Callable<Integer> {
+        @Option(names = "--json", description = "all that a version is, as JSON; the jar is read for its digest")
+        private boolean json;
+
+        @Option(names = "--appliance", paramLabel = "FILE", description = "the operators' settings, for their digest")
+        private Path appliance;
+
         @Override
-        public Integer call() {
-            String version = Main.class.getPackage().getImplementationVersion();
-            System.out.println("wharftrestle " + (version == null ? "(unpackaged)" : version));
+        public Integer call() throws Exception {
+            String settings = appliance == null ? null : Settings.read(appliance).table();
+            wharftrestle.version.Version version = Build.version(settings);
+            if (!json) {
+                System.out.println("wharftrestle " + version.line());
+                return 0;
+            }
+            Map<String, Object> all = new LinkedHashMap<>(version.parts());
+            Path jar = Build.jar();
+            if (jar != null) {
+                String digest = Build.digest(jar);
+                all.put("jar", digest);
+                if (!digest.equals(version.build())) {
+                    System.err.println("wharftrestle: the jar's digest is not the one beside it");
+                }
+            }
+            System.out.println(new ObjectMapper().writeValueAsString(all));
             return 0;
         }
     }
--- a/src/main/java/wharftrestle/handover/Between.java
+++ b/src/main/java/wharftrestle/handover/Between.java
@@ -119,7 +119,9 @@
         told = null;
         other = to;
         owner = false;
+        int[] open = {0};
         keys.each(entry -> {
+            open[0]++;
             if (entry.over() && entry.asked().body() == null) {
                 // Over, and still open as the index is full: its body is not kept any more.
                 to.follows(new Over(Digest.of(entry.key()), entry.lastDoor(), entry.until() - now, entry.asked().brief(),
@@ -128,7 +130,7 @@
                 to.tell(kept(entry, now));
             }
         });
-        return keys.size();
+        return open[0];
     }
 
     /** This process takes over from that one, whose keys follow; what it hears of is stretched by so many seconds. */
--- a/src/main/java/wharftrestle/ops/Console.java
+++ b/src/main/java/wharftrestle/ops/Console.java
@@ -24,6 +24,7 @@
             ready         whether this process takes clients
             vars          the figures: requests by class and outcome, runs, requests outstanding
             status        state, worker pool link, health, requests in hand
+            version       build, settings and formats of the running process
             results       the figures of results kept over restarts
             counters      all that was taken in, sent and answered since the start
             lameduck on   health checks and reports turn bad; what arrives is served
@@ -35,7 +36,7 @@
     private static final Map<String, String> CALLS = new LinkedHashMap<>();
 
     static {
-        for (String read : new String[] {"ready", "vars", "status", "results", "counters"}) {
+        for (String read : new String[] {"ready", "vars", "status", "version", "results", "counters"}) {
             CALLS.put(read, "GET /_" + read);
         }
         CALLS.put("lameduck on", "POST /_lameduck/on");
--- a/src/main/java/wharftrestle/ops/Door.java
+++ b/src/main/java/wharftrestle/ops/Door.java
@@ -11,6 +11,7 @@
 import wharftrestle.net.Bytes;
 import wharftrestle.net.Server;
 import wharftrestle.net.Server.MalformedException;
+import wharftrestle.version.Version;
 
 /**
  * The operators' door: HTTP/1.1, one call a connection. It shows what the daemon counts and passes on what
@@ -43,6 +44,12 @@
         /** The figures of kept results; empty where none are kept. */
         Map<ResultFigure, Long> results();
 
+        /** What this process is. */
+        Version version();
+
+        /** How far the hand-over between the processes of this box is, and why it waits where it does. */
+        String handover();
+
         /** Sends callers away, or takes them again; false where the daemon leaves for good. */
         boolean lameDuck(boolean on);
 
@@ -82,6 +89,7 @@
                         : new Answer("503 Service Unavailable", "", "no: " + daemon.phase() + "\n")),
                 "/_vars", new Call("GET", () -> Answer.ok(daemon.counters().figures())),
                 "/_status", new Call("GET", () -> Answer.ok(status())),
+                "/_version", new Call("GET", () -> Answer.ok(daemon.version().table())),
                 "/_results", new Call("GET", () -> Answer.ok(results())),
                 "/_counters", new Call("GET", () -> Answer.ok(daemon.counters().table())),
                 "/_lameduck/on", new Call("POST", () -> lameDuck(true)),
@@ -227,8 +235,9 @@
         Counters counters = daemon.counters();
         return String.format(Locale.ROOT, "name          %s%nstate         %s%nup            %.0f s%n"
                 + "worker pool   %s%nhealth        %s%nin hand       %d requests%nkept          %s%n"
-                + "results       %s%n",
+                + "results       %s%nversion       %s%nhand-over     %s%n",
                 daemon.name(), daemon.phase(), daemon.upSeconds(), daemon.linked() ? "linked" : "not linked",
-                daemon.healthy() ? "good" : "bad", counters.outstanding(), keptLine(counters), resultsLine());
+                daemon.healthy() ? "good" : "bad", counters.outstanding(), keptLine(counters), resultsLine(),
+                daemon.version().line(), daemon.handover());
     }
 }
--- a/src/main/java/wharftrestle/ops/SnmpAgent.java
+++ b/src/main/java/wharftrestle/ops/SnmpAgent.java
@@ -93,6 +93,11 @@
             put(objects, below(ROOT, 1, 4), figure.ordinal() + 1,
                     figure.counts() ? new Counter64(value) : new Gauge32(Math.min(value, MOST_GAUGE)));
         }
+        int part = 0;
+        for (String said : daemon.version().parts().values()) {
+            put(objects, below(ROOT, 1, 5), ++part, text(said));
+        }
+        put(objects, below(ROOT, 1, 5), ++part, text(daemon.handover()));
         OID row = below(ROOT, 1, 3, 1);
         for (int i = 0; i < counters.classes().size(); i++) {
             objects.put(below(row, 2, i + 1), text(counters.classes().get(i)));
--- a/src/test/java/wharftrestle/Sites.java
+++ b/src/test/java/wharftrestle/Sites.java
@@ -17,7 +17,15 @@
         return new Builder();
     }
 
+    /** The same classes, the first two of them in the other order. */
+    static Builder swapped() {
+        Builder site = new Builder();
+        site.swapped = true;
+        return site;
+    }
+
     static final class Builder {
+        private boolean swapped;
         double memory = 10_000;
         double keyMemory = 10;
         double shareFor;
@@ -42,8 +50,8 @@
 
         Admission.Settings build() {
             return new Admission.Settings(List.of(
-                    type("read", 2, 6, 1, 0, Admission.Repeat.SAFE),
-                    type("save", 2, 6, 3, 0, Admission.Repeat.SAFE),
+                    type(swapped ? "save" : "read", 2, 6, swapped ? 3 : 1, 0, Admission.Repeat.SAFE),
+                    type(swapped ? "read" : "save", 2, 6, swapped ? 1 : 3, 0, Admission.Repeat.SAFE),
                     type("keyed", 2, 6, 3, 0, Admission.Repeat.KEYED),
                     type("unsafe", 2, 6, 3, 0, Admission.Repeat.UNSAFE),
                     type("long", 8, 20, 1, 0.2, Admission.Repeat.SAFE)),
