Prove changes forwards and back with real processes, and give the rig its package

Need: that a box can be changed and changed back was shown by stories in one process alone.

Change: package lab, no part of the serving path (BordersTest): Daemon (a real process of any build), WorkerPool, Desk and Floor, which the tests had; make prove-change plays them with stops, kills, other settings, and earlier builds made from the repository's own commits. The brief form runs in the tests.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Shortcuts; 'mvn -B verify' is what counts.
-.PHONY: build deployed test lint run prove-results prove-memory bench-results bench-memory measure-candidates
+.PHONY: build deployed test lint run prove-results prove-memory prove-change bench-results bench-memory measure-candidates
 
 build:
 	mvn -q -B -DskipTests package
@@ -32,6 +32,11 @@
 prove-memory: deployed target/classpath
 	java -Dpackaged=true -cp $(CLASSES) wharftrestle.prove.ProveMemory $(SEED)
 
+# Changes one box forwards and back under load, with stops and kills; SHORT=1, CHANGES=N and SEED=N as above. The long form
+# makes two earlier builds from the repository's own commits.
+prove-change: build target/classpath
+	java -cp $(CLASSES) wharftrestle.prove.ProveChange $(SEED)
+
 # Results in blocks against a plain map of arrays.
 bench-memory: build target/classpath
 	java -cp $(CLASSES) wharftrestle.bench.ResultStructures
--- a/src/main/java/wharftrestle/Main.java
+++ b/src/main/java/wharftrestle/Main.java
@@ -125,7 +125,8 @@
 
     /** The operator's terminal. */
     @Command(name = "console",
-            description = "call a running daemon: ready, vars, lameduck on, lameduck off, status, version, results, counters, drain")
+            description = "call a running daemon: ready, vars, lameduck on, lameduck off, status, version, results, "
+                    + "counters, drain")
     static final class Attach implements Callable<Integer> {
         @Option(names = "--at",
                 description = "the daemon's console address; default: $EDGE_CONSOLE, else control in --appliance")
--- /dev/null
+++ b/src/main/java/wharftrestle/lab/Floor.java
@@ -0,0 +1,269 @@
+package wharftrestle.lab;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.Stream;
+
+/**
+ * The floor of a proof: one box with its daemons as processes of their own, and stand-ins for what they talk to, which
+ * outlive them. It owns the addresses, the configurations and the processes. What its worker pool counts is the proof; it
+ * must never ask a daemon.
+ */
+public final class Floor implements Closeable {
+    private static final InetAddress HOST = InetAddress.getLoopbackAddress();
+    /** Milliseconds of a run at most. */
+    private static final int LONGEST_RUN = 25;
+    /** Milliseconds in which a daemon that is alone serves. */
+    private static final long READY_MS = 30_000;
+
+    /**
+     * What is played.
+     *
+     * @param main          the daemon's main class
+     * @param memoryMb      its limit
+     * @param window        seconds in which a key may come again
+     * @param longestResult bytes that a run adds to its body's name at most
+     */
+    public record Play(String main, int memoryMb, int window, int longestResult) {
+        /** The daemon as it is, with the window of the first site and small results. */
+        public static Play of(int memoryMb) {
+            return new Play("wharftrestle.Main", memoryMb, 24, 300);
+        }
+    }
+
+    /**
+     * What one process is set to.
+     *
+     * @param memoryMb its limit
+     * @param window   seconds in which a key may come again
+     * @param moved    its classes stand in another order
+     * @param more     it has a class more
+     */
+    public record Settings(int memoryMb, int window, boolean moved, boolean more) {
+        private List<String> classes() {
+            List<String> all = new ArrayList<>(List.of("""
+                    {"deadline": 6, "importance": 1, "lateWorth": 0, "memorySpan": %d, "name": "read",
+                     "repeat": "read_like", "slo": 2}""".formatted(window), """
+                    {"deadline": 6, "importance": 3, "lateWorth": 0.2, "memorySpan": %d, "name": "save",
+                     "repeat": "idempotency_key", "slo": 2}""".formatted(window)));
+            if (moved) {
+                Collections.reverse(all);
+            }
+            if (more) {
+                all.add("""
+                    {"deadline": 6, "importance": 2, "lateWorth": 0, "memorySpan": %d, "name": "extra",
+                     "repeat": "idempotency_key", "slo": 2}""".formatted(window));
+            }
+            return all;
+        }
+    }
+
+    /**
+     * What one process is.
+     *
+     * @param jar      its build; null for the classes of this process
+     * @param main     its main class
+     * @param settings what it is set to
+     * @param script   the operators' settings; empty for none
+     */
+    public record Version(Path jar, String main, Settings settings, String script) { }
+
+    private volatile WorkerPool pool;
+    private boolean hangupsIgnored;
+    private final ServerSocket idle = new ServerSocket(0, 50, HOST);   // the script store: nobody calls
+    private final DatagramSocket naming = new DatagramSocket(0, HOST);
+    private final Random random;
+    private final Path folder;
+    private final int listen;
+    private final Version version;
+    private final Play play;
+    private final List<Daemon> all = new ArrayList<>();
+    private int started;
+    private int soleDoor;
+    private Daemon daemon;
+
+    /** @param script the operators' settings; empty for none */
+    public Floor(Path folder, String script, long seed, Play play) throws IOException {
+        this.folder = folder;
+        this.play = play;
+        random = new Random(seed);
+        listen = freePort();
+        pool = new WorkerPool(null, random, LONGEST_RUN, play.longestResult());
+        version = new Version(null, play.main(), settings(), script);
+        soleDoor = freePort();
+        Files.writeString(folder.resolve("config.json"), config(version.settings(), soleDoor));
+    }
+
+    /** What is played, as one process is set to it. */
+    public Settings settings() {
+        return new Settings(play.memoryMb(), play.window(), false, false);
+    }
+
+    /** The daemon is started as by nohup. */
+    public void ignoreHangups() {
+        hangupsIgnored = true;
+    }
+
+    /** The worker pool goes to another address, which the daemon's configuration says from now on. */
+    public void movePool() throws IOException {
+        WorkerPool old = pool;
+        pool = new WorkerPool(old, random, LONGEST_RUN, play.longestResult());
+        Files.writeString(folder.resolve("config.json"), config(version.settings(), soleDoor));
+        old.close();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0, 1, HOST)) {
+            return probe.getLocalPort();
+        }
+    }
+
+    /** The stand-in worker pool. */
+    public WorkerPool pool() {
+        return pool;
+    }
+
+    public void watch(WorkerPool.Moments told) {
+        pool.watch(told);
+    }
+
+    public InetSocketAddress address() {
+        return new InetSocketAddress(HOST, listen);
+    }
+
+    private static String none(String value, Settings set) {
+        return String.join(", ", Collections.nCopies(set.classes().size(), value));
+    }
+
+    private String config(Settings set, int door) {
+        return """
+                {"name": "n1", "listen": "127.0.0.1:%d", "pool": "127.0.0.1:%d", "db": "127.0.0.1:%d",
+                 "naming": "127.0.0.1:%d", "console": "127.0.0.1:%d", "seed": "7", "stop_ms": 3200,
+                 "limits": {"cores": 1.0, "memory_mb": %d, "sockets": 512},
+                 "settings": {
+                  "categories": [
+                   %s],
+                  "ceilings": {"maxRetryAfter": 1, "retryAfter": true}, "clients": {"marksRetry": false},
+                  "overShareWorth": 0.05,
+                  "obligations": {"answerSlack": 0.06, "cold": 18, "coldFrom": 0.2, "drainGrace": 2, "fall": 3,
+                   "tipMultiple": 8},
+                  "peersTotal": 1, "tenants": [], "tick": 0.004, "worthBy": "request",
+                  "specifics": {"callShare": 6, "callers": 3, "callsOver": 5, "classCalls": [%s],
+                   "classSkipWorth": [%s], "downstream": "none", "gauges": ["cpu_busy", "runnable"], "heeded": 1,
+                   "keepaliveMax": 30, "keyKb": 1, "linger": 0.2, "listFollows": true, "memoryKb": 720000, "nCores": 32,
+                   "preemption": "pause", "runFactor": 2, "say": "weight", "shareFor": 0, "tellsGone": true}}}
+                """.formatted(listen, pool.address().getPort(), idle.getLocalPort(), naming.getLocalPort(), door,
+                set.memoryMb(),
+                String.join(",\n", set.classes()), none("false", set), none("0", set));
+    }
+
+    // ---- The daemons ----
+
+    /** Starts the floor's one daemon and waits until it serves. */
+    public void start() throws IOException {
+        // Packaged is as it is deployed: so memory is measured.
+        List<String> command = new ArrayList<>(Boolean.getBoolean("packaged")
+                && version.main().equals("wharftrestle.Main") ? List.of("sh", "deploy/run.sh")
+                : Daemon.command(null, version.main(), play.memoryMb()));
+        if (hangupsIgnored) {
+            command.addAll(0, List.of("/bin/sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
+        }
+        command.addAll(appliance(version.script(), "appliance.star"));
+        daemon = new Daemon(command, environment("config.json"), folder.resolve("daemon.log"), soleDoor);
+        all.add(daemon);
+        if (!daemon.awaitReady(READY_MS)) {
+            throw new IOException("the daemon did not start:\n" + daemon.log());
+        }
+    }
+
+    /** Starts one more process of the same box; it takes over from the one that serves, and is not waited for. */
+    public Daemon begin(Version next) throws IOException {
+        int number = ++started;
+        int door = freePort();
+        String config = "config-" + number + ".json";
+        Files.writeString(folder.resolve(config), config(next.settings(), door));
+        List<String> command = new ArrayList<>(Daemon.command(next.jar(), next.main(), next.settings().memoryMb()));
+        command.addAll(appliance(next.script(), "appliance-" + number + ".star"));
+        Map<String, String> environment = environment(config);
+        environment.put("TMPDIR", folder.toString());
+        Daemon begun = new Daemon(command, environment, folder.resolve("daemon-" + number + ".log"), door);
+        all.add(begun);
+        return begun;
+    }
+
+    private List<String> appliance(String script, String name) throws IOException {
+        if (script.isEmpty()) {
+            return List.of();
+        }
+        Path file = folder.resolve(name);
+        Files.writeString(file, script);
+        return List.of("--appliance", file.toString());
+    }
+
+    private Map<String, String> environment(String config) {
+        return new HashMap<>(Map.of("EDGE_CONFIG", folder.resolve(config).toString(), "MALLOC_ARENA_MAX", "1"));
+    }
+
+    /** The one that {@link #start} started last. */
+    public Daemon daemon() {
+        return daemon;
+    }
+
+    /** A folder that was made for one play goes with all in it. */
+    public static void delete(Path folder) throws IOException {
+        try (Stream<Path> all = Files.walk(folder)) {
+            for (Path each : (Iterable<Path>) all.sorted(Comparator.reverseOrder())::iterator) {
+                Files.deleteIfExists(each);
+            }
+        }
+    }
+
+    /** Runs beyond the first of a body. */
+    public int doubleRuns() {
+        int more = 0;
+        for (String name : pool.names()) {
+            more += runs(name) - 1;
+        }
+        return more;
+    }
+
+    /** Bodies that ran. */
+    public int bodies() {
+        return pool.bodies();
+    }
+
+    /** Runs of a body whose first line is this. */
+    public int runs(String name) {
+        return pool.begun(name).size();
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Daemon each : all) {
+            try {
+                if (each.alive()) {
+                    each.stopped(false);
+                    each.kill();
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        pool.close();
+        idle.close();
+        naming.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/wharftrestle/lab/WorkerPool.java
@@ -0,0 +1,188 @@
+package wharftrestle.lab;
+
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import wharftrestle.net.Bytes;
+
+/**
+ * A stand-in worker pool that outlives the daemons and serves any number of them: it runs what it is told to, and knows of
+ * each body when it ran. What it counts is the truth that checkers hold the daemons against; it must never ask one.
+ */
+public final class WorkerPool implements Closeable {
+
+    /** What it hears of and tells, so that a fault can choose its moment. */
+    public interface Moments {
+        void spawned();
+
+        void finished();
+    }
+
+    private final ServerSocket server;
+    private final ScheduledExecutorService cores = Executors.newScheduledThreadPool(4, task -> {
+        Thread thread = new Thread(task, "stand-in core");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final Map<String, List<Long>> runs = new ConcurrentHashMap<>();
+    private final List<Socket> links = new CopyOnWriteArrayList<>();
+    private final Random random;
+    private final int longestRun;
+    private final int longestResult;
+    private volatile Moments moments;
+
+    /**
+     * @param runs          of an earlier stand-in at another address, which go on; null for none
+     * @param longestRun    milliseconds
+     * @param longestResult bytes that a run adds to its body's name
+     */
+    WorkerPool(WorkerPool before, Random random, int longestRun, int longestResult) throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.random = random;
+        this.longestRun = longestRun;
+        this.longestResult = longestResult;
+        if (before != null) {
+            runs.putAll(before.runs);
+        }
+        Thread accept = new Thread(this::accept, "stand-in pool");
+        accept.setDaemon(true);
+        accept.start();
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) server.getLocalSocketAddress();
+    }
+
+    /** Tells this one of each moment; null for nobody. */
+    public void watch(Moments told) {
+        moments = told;
+    }
+
+    /** When each run of a body with this first line began, on the clock of System.nanoTime. */
+    public List<Long> begun(String name) {
+        List<Long> all = runs.get(name);
+        if (all == null) {
+            return List.of();
+        }
+        synchronized (all) {
+            return List.copyOf(all);
+        }
+    }
+
+    /** The first lines of all bodies that ran. */
+    public Iterable<String> names() {
+        return runs.keySet();
+    }
+
+    int bodies() {
+        return runs.size();
+    }
+
+    private void accept() {
+        try {
+            for (;;) {
+                Socket socket = server.accept();
+                links.add(socket);
+                socket.setTcpNoDelay(true);
+                Thread link = new Thread(() -> serve(socket), "stand-in link");
+                link.setDaemon(true);
+                link.start();
+            }
+        } catch (IOException closed) {
+            return;
+        }
+    }
+
+    private void serve(Socket socket) {
+        try {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            // Numbered anew for each start of a daemon, and on from what it has read.
+            AtomicInteger notices = new AtomicInteger(Integer.parseInt(Bytes.line(in, 100).split(" ")[1]));
+            write(socket, Bytes.ascii("bound old 60000\r\n"));
+            for (;;) {
+                String[] w = Bytes.line(in, 400).split(" ");
+                if (w[0].equals("poll")) {
+                    write(socket, Bytes.ascii("polled " + w[1] + " 0.2 1\r\n"));
+                } else if (w[0].equals("spawn")) {
+                    String body = new String(Bytes.exactly(in, Integer.parseInt(w[3])), StandardCharsets.ISO_8859_1);
+                    Bytes.crlf(in);
+                    run(socket, notices, w[1], body);
+                }
+            }
+        } catch (IOException ended) {
+            return;   // the daemon has ended; its runs go on to their end
+        }
+    }
+
+    private void run(Socket socket, AtomicInteger notices, String ref, String body) {
+        String name = body.substring(0, body.indexOf('\n') < 0 ? body.length() : body.indexOf('\n'));
+        List<Long> mine = runs.computeIfAbsent(name, key -> new ArrayList<>());
+        int run;
+        synchronized (mine) {
+            mine.add(System.nanoTime());
+            run = mine.size();
+        }
+        moment(true);
+        int took;
+        byte[] result;
+        synchronized (random) {
+            took = random.nextInt(longestRun);
+            result = new byte[random.nextInt(longestResult + 1)];
+            random.nextBytes(result);
+        }
+        byte[] whole = Bytes.join(Bytes.ascii(name + " run " + run + "\r\n"), result);
+        cores.schedule(() -> finish(socket, notices, ref, took, whole), took, TimeUnit.MILLISECONDS);
+    }
+
+    private void finish(Socket socket, AtomicInteger notices, String ref, int took, byte[] result) {
+        try {
+            synchronized (notices) {
+                write(socket, Bytes.join(Bytes.ascii("finished " + notices.incrementAndGet() + " " + ref + " good " + took
+                        + " " + result.length + "\r\n"), result, Bytes.ascii("\r\n")));
+            }
+            moment(false);
+        } catch (IOException gone) {
+            return;   // nobody hears of it any more
+        }
+    }
+
+    private void moment(boolean spawn) {
+        Moments told = moments;
+        if (told != null && spawn) {
+            told.spawned();
+        } else if (told != null) {
+            told.finished();
+        }
+    }
+
+    private static void write(Socket socket, byte[] bytes) throws IOException {
+        synchronized (socket) {
+            socket.getOutputStream().write(bytes);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket link : links) {
+            link.close();
+        }
+        cores.shutdownNow();
+    }
+}
--- a/src/test/java/wharftrestle/BordersTest.java
+++ b/src/test/java/wharftrestle/BordersTest.java
@@ -38,4 +38,10 @@
     static final ArchRule thePolicyKnowsNobody = noClasses().that().resideInAPackage("wharftrestle.policy..")
             .should().dependOnClassesThat().resideInAnyPackage("wharftrestle.core..", "wharftrestle.net..",
                     "wharftrestle.keys..", "wharftrestle.front..", "wharftrestle.ops..");
+
+    @ArchTest
+    static final ArchRule theServingPathKnowsNoRigAndNoKeeper = noClasses().that()
+            .resideOutsideOfPackages("wharftrestle.lab..", "wharftrestle.box..")
+            .and().haveSimpleNameNotStartingWith("Operators")
+            .should().dependOnClassesThat().resideInAnyPackage("wharftrestle.lab..", "wharftrestle.box..");
 }
--- a/src/test/java/wharftrestle/prove/BenchResults.java
+++ b/src/test/java/wharftrestle/prove/BenchResults.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
+import wharftrestle.lab.Desk;
+import wharftrestle.lab.Floor;
 
 /**
  * Measures what kept results cost at a real daemon: keyed requests a second and their latency with the store off, on
@@ -65,14 +67,14 @@
             Histogram latency = new ConcurrentHistogram(60_000_000, 3);
             int served = ask(floor, desks, seconds, "note", latency);
             rate[0] = served / (double) seconds;
-            String syncs = floor.get("/_results").lines().filter(line -> line.startsWith("sync")
+            String syncs = floor.daemon().get("/_results").lines().filter(line -> line.startsWith("sync")
                     || line.startsWith("records")).map(line -> line.replaceAll(" +", " ").split(" ")[0] + " "
                             + line.replaceAll(" +", " ").split(" ")[1]).reduce("", (a, b) -> a + ", " + b);
             out.printf(Locale.ROOT, "%3d desks, %-6s %6.0f served/s, "
                     + "p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms, resident %d MB%s%n",
                     desks, sync,
                     rate[0], latency.getValueAtPercentile(50) / 1000.0, latency.getValueAtPercentile(99) / 1000.0,
-                    latency.getValueAtPercentile(99.9) / 1000.0, floor.memoryKb("VmHWM") >> 10, syncs);
+                    latency.getValueAtPercentile(99.9) / 1000.0, floor.daemon().memoryKb("VmHWM") >> 10, syncs);
         });
         return rate[0];
     }
@@ -112,23 +114,24 @@
     private static void full(int memory, int mb, PrintStream out) throws Exception {
         with("max_mb = " + mb + ", max_keys = 200000, sync = \"none\"", memory, (floor, folder) -> {
             int served = 0;
-            for (int i = 0; i < 25 && !floor.get("/_results").matches("(?s).*refused_store_full +[1-9].*"); i++) {
+            for (int i = 0; i < 25 && !floor.daemon().get("/_results").matches("(?s).*refused_store_full +[1-9].*"); i++) {
                 served += ask(floor, mb > 8 ? 64 : 16, 1, "x".repeat(1500), new ConcurrentHistogram(60_000_000, 3));
             }
-            String figures = floor.get("/_results");
-            long resident = floor.memoryKb("VmHWM");
-            long own = floor.memoryKb("RssAnon");
-            floor.kill();
+            String figures = floor.daemon().get("/_results");
+            long resident = floor.daemon().memoryKb("VmHWM");
+            long own = floor.daemon().memoryKb("RssAnon");
+            floor.daemon().kill();
             long began = System.nanoTime();
             floor.start();
             double again = (System.nanoTime() - began) / 1e6;
-            String after = floor.get("/_results");
+            String after = floor.daemon().get("/_results");
             out.printf(Locale.ROOT, "memory_mb %d, max_mb %d: %d keys served, %s kB used, refused as full %s, "
                     + "resident %d MB, "
                     + "%d of it its own; killed, ready after %.0f ms, %.0f of them reading (%s known), resident %d MB, "
                     + "%d its own%n", memory, mb, served, figure(figures, "used_kb"), figure(figures, "refused_store_full"),
                     resident >> 10, own >> 10, again, Long.parseLong(figure(after, "recovery_us")) / 1000.0,
-                    figure(after, "recovered_known"), floor.memoryKb("VmHWM") >> 10, floor.memoryKb("RssAnon") >> 10);
+                    figure(after, "recovered_known"), floor.daemon().memoryKb("VmHWM") >> 10,
+                    floor.daemon().memoryKb("RssAnon") >> 10);
         });
     }
 
--- /dev/null
+++ b/src/test/java/wharftrestle/prove/ProveChange.java
@@ -0,0 +1,423 @@
+package wharftrestle.prove;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
+import wharftrestle.lab.Daemon;
+import wharftrestle.lab.Desk;
+import wharftrestle.lab.Floor;
+
+/**
+ * Proves that one box can be changed and changed back under load: real processes of this build and of earlier ones, with
+ * the same and with other settings, one of the two stopped or killed at moments drawn from a seed, while desks ask keyed
+ * requests and repeat them. Held against the stand-in worker pool: nothing runs twice while a process lives that holds the
+ * keys, nothing is refused after its run, nothing is lost but by a kill, every change ends as changed or as before. The
+ * same without the agreement has to break a rule, or the proof could not fail. It closes on one line, and exit 0 or 1.
+ */
+public final class ProveChange {
+    private static final int DESKS = 4;
+    /** Milliseconds for which a key is repeated: inside the shortest window that is played. */
+    private static final long KEY_MS = 9_000;
+    /** Part of requests that repeat a key. */
+    private static final double AGAIN = 0.4;
+    private static final int THINK = 30;
+    /** Milliseconds in which a change ends, on top of what a process was stopped for. */
+    private static final long READY_MS = 15_000;
+    /** Milliseconds for which the one that serves is watched after a change that cannot be. */
+    private static final long WATCH_MS = 700;
+    /** Milliseconds after a kill in which a connection may end without its answer. */
+    private static final long KILL_MS = 1500;
+    private static final List<String> HISTORY = List.of("7ee9590", "f2bf4dc");
+
+    /** One way to be: what a process is, and whether it can take over from any other here. */
+    private record Way(String name, Floor.Version version, boolean fits, boolean former) { }
+
+    private static final class Key {
+        private final String name;
+        private final String body;
+        private final long since = System.currentTimeMillis();
+        private byte[] result;
+
+        Key(String name) {
+            this.name = name;
+            this.body = "note of " + name;
+        }
+    }
+
+    /** What was seen. */
+    static final class Seen {
+        final AtomicInteger served = new AtomicInteger();
+        final AtomicInteger replayed = new AtomicInteger();
+        final AtomicInteger failed = new AtomicInteger();
+        final AtomicInteger refused = new AtomicInteger();
+        final AtomicInteger refusedAfterRun = new AtomicInteger();
+        final AtomicInteger otherBytes = new AtomicInteger();
+        final AtomicInteger lost = new AtomicInteger();
+        final AtomicInteger lostByKills = new AtomicInteger();
+        final List<Long> readyMs = new ArrayList<>();
+        final Map<String, Integer> ended = new TreeMap<>();
+        int changes;
+        int stops;
+        int kills;
+        int unfinished;
+        int doubleRuns;
+        int holderKilled;
+
+        boolean holds() {
+            return doubleRuns == 0 && refusedAfterRun.get() == 0 && otherBytes.get() == 0 && lost.get() == 0
+                    && unfinished == 0;
+        }
+
+        private long ready(double part) {
+            List<Long> sorted = new ArrayList<>(readyMs);
+            Collections.sort(sorted);
+            return sorted.isEmpty() ? 0 : sorted.get((int) (part * (sorted.size() - 1)));
+        }
+
+        @Override
+        public String toString() {
+            return String.format(Locale.ROOT, "%d changes %s, %d stops, %d kills, ready after %d ms (median; most %d), %d "
+                    + "never ended, %d double runs, %d more where the only holder was killed, %d refused after a run, %d "
+                    + "other bytes, %d lost, %d lost by kills (%d served, %d again, %d failed, %d refused)", changes,
+                    ended, stops, kills,
+                    ready(0.5), ready(1), unfinished, doubleRuns, holderKilled, refusedAfterRun.get(), otherBytes.get(),
+                    lost.get(), lostByKills.get(), served.get(), replayed.get(), failed.get(), refused.get());
+        }
+    }
+
+    private final Floor floor;
+    private final Seen seen = new Seen();
+    private final PrintStream out;
+    private final List<Way> ways;
+    private final AtomicReference<Throwable> fault = new AtomicReference<>();
+    private final AtomicLong references = new AtomicLong(1);
+    /** When the only process that held the keys was killed, on the clock of System.nanoTime. */
+    private final List<Long> forgotten = new CopyOnWriteArrayList<>();
+    private volatile long killedAt = Long.MIN_VALUE / 2;
+    private volatile boolean over;
+
+    private ProveChange(Floor floor, List<Way> ways, PrintStream out) {
+        this.floor = floor;
+        this.ways = ways;
+        this.out = out;
+    }
+
+    /** Plays so many changes, with kept results or without. */
+    private static Seen play(boolean kept, boolean mutant, int changes, long seed, List<Path> builds, PrintStream out)
+            throws Exception {
+        Path folder = Files.createTempDirectory("prove-change");
+        try (Floor floor = new Floor(folder, "", seed, Floor.Play.of(192))) {
+            return new ProveChange(floor, ways(floor, folder, kept, mutant, builds), out).play(changes, new Random(seed));
+        } finally {
+            Floor.delete(folder);
+        }
+    }
+
+    private static List<Way> ways(Floor floor, Path folder, boolean kept, boolean mutant, List<Path> builds) {
+        String script = kept ? "durable(dir = \"" + folder.resolve("results") + "\", max_mb = 16)\n" : "";
+        String main = mutant ? "wharftrestle.prove.Unagreed" : "wharftrestle.Main";
+        Floor.Settings set = floor.settings();
+        List<Way> all = new ArrayList<>();
+        all.add(new Way("same", new Floor.Version(null, main, set, script), true, false));
+        all.add(new Way("moved", new Floor.Version(null, main, new Floor.Settings(set.memoryMb(), set.window(), true, false),
+                script), false, false));
+        if (mutant) {
+            return all;
+        }
+        all.add(new Way("longer", new Floor.Version(null, main,
+                new Floor.Settings(set.memoryMb(), set.window() + 10, false, false), script), true, false));
+        all.add(new Way("shorter", new Floor.Version(null, main,
+                new Floor.Settings(set.memoryMb(), set.window() - 10, false, false), script), true, false));
+        all.add(new Way("more", new Floor.Version(null, main, new Floor.Settings(set.memoryMb(), set.window(), false, true),
+                script), true, false));
+        all.add(new Way("smaller", new Floor.Version(null, main, new Floor.Settings(88, set.window(), false, false), script),
+                true, false));
+        if (kept) {
+            all.add(new Way("folder", new Floor.Version(null, main, set,
+                    script.replace("results", "elsewhere")), false, false));
+        }
+        for (Path build : builds) {
+            boolean fits = build.toString().contains(HISTORY.get(0));
+            all.add(new Way(build.getParent().getParent().getFileName().toString(),
+                    new Floor.Version(build, "wharftrestle.Main", set, script), fits, true));
+        }
+        return all;
+    }
+
+    private Seen play(int changes, Random random) throws Exception {
+        Way serves = ways.get(0);
+        Daemon old = floor.begin(serves.version());
+        if (!old.awaitReady(READY_MS)) {
+            throw new IOException("the first process did not start:\n" + old.log());
+        }
+        List<Thread> desks = new ArrayList<>();
+        for (int i = 0; i < DESKS; i++) {
+            long seed = random.nextLong();
+            Thread desk = new Thread(() -> {
+                try {
+                    sit(new Random(seed));
+                } catch (RuntimeException | Error e) {
+                    fault.compareAndSet(null, e);
+                }
+            }, "desk " + i);
+            desk.setDaemon(true);
+            desk.start();
+            desks.add(desk);
+        }
+        for (int i = 0; i < changes && fault.get() == null; i++) {
+            Way next = ways.get(1 + i % (ways.size() - 1));
+            // An earlier build that serves says no terms and asks for none: it is changed back to this one as it is.
+            next = random.nextInt(3) == 0 || serves.former() ? ways.get(0) : next;
+            Daemon now = change(serves, old, next, random);
+            serves = now == old ? serves : next;
+            old = now;
+            if ((i + 1) % 20 == 0) {
+                out.println("  " + seen);
+            }
+        }
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(500));
+        over = true;
+        for (Thread desk : desks) {
+            desk.join();
+        }
+        if (fault.get() != null) {
+            throw new IllegalStateException("a desk failed", fault.get());
+        }
+        count();
+        return seen;
+    }
+
+    /** One change, with what goes wrong in it; the process that serves after it. */
+    private Daemon change(Way serves, Daemon old, Way next, Random random) throws Exception {
+        seen.changes++;
+        long began = System.nanoTime();
+        Daemon now = floor.begin(next.version());
+        boolean fits = next.fits() || serves.version().equals(next.version());
+        // An earlier build closes what it does not like, and knows no seat: it is stopped, and not killed.
+        boolean former = next.former() || serves.former();
+        int kind = random.nextInt(10);
+        long wait = 0;
+        Daemon victim = random.nextBoolean() ? old : now;
+        boolean killed = false;
+        if (kind < 3) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(random.nextInt(1200)));
+            wait = 100 + random.nextInt(1400);
+            seen.stops++;
+            victim.stopped(true);
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(wait));
+            victim.stopped(false);
+        } else if (kind < 6 && !former) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(random.nextInt(1200)));
+            seen.kills++;
+            killedAt = System.nanoTime();
+            victim.kill();
+            killed = true;
+        }
+        if (killed && victim == old) {
+            ended("took over from a killed one");
+            if (!now.awaitReady(READY_MS)) {
+                return unfinished(now, "did not serve after the old one was killed");
+            }
+            if (!now.log().contains("to OPENING by")) {
+                forgotten.add(killedAt);   // it had not been given the keys: they died with their only holder
+            }
+            return now;
+        }
+        if (killed) {
+            ended("as before, the new one was killed");
+            if (!old.awaitReady(READY_MS)) {
+                return unfinished(old, "did not serve on after the new one was killed");
+            }
+            return old;
+        }
+        if (!fits) {
+            ended("refused");
+            return refused(old, now);
+        }
+        if (!now.awaitReady(READY_MS + wait)) {
+            return unfinished(now, "was never ready (" + serves.name() + " to " + next.name() + ")");
+        }
+        ended("changed");
+        seen.readyMs.add((System.nanoTime() - began) / 1_000_000 - wait);
+        old.term();
+        if (old.awaitEnd(8000) < 0) {
+            return unfinished(old, "did not end");
+        }
+        return now;
+    }
+
+    /** A process that cannot take over: the one that serves has to go on as if never asked. */
+    private Daemon refused(Daemon old, Daemon now) throws Exception {
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(WATCH_MS + 800));
+        int refused = seen.refused.get();
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(WATCH_MS));
+        if (!old.ready() || now.ready() || seen.refused.get() - refused > 20) {
+            return unfinished(old, "did not serve on as if never asked");
+        }
+        now.kill();
+        return old;
+    }
+
+    private void ended(String how) {
+        seen.ended.merge(how, 1, Integer::sum);
+    }
+
+    private Daemon unfinished(Daemon which, String what) throws IOException {
+        seen.unfinished++;
+        String log = which.log();
+        out.println("  a process " + what + "; its log ends:\n" + log.substring(Math.max(0, log.length() - 1500)));
+        if (!which.alive()) {
+            throw new IOException("nothing serves any more");
+        }
+        return which;
+    }
+
+    /** Counts keys that ran twice, and tells those apart whose only holder was killed in between. */
+    private void count() {
+        for (String name : floor.pool().names()) {
+            List<Long> begun = floor.pool().begun(name);
+            for (int i = 1; i < begun.size(); i++) {
+                long before = begun.get(i - 1);
+                long after = begun.get(i);
+                if (forgotten.stream().anyMatch(at -> before <= at + TimeUnit.MILLISECONDS.toNanos(50) && at <= after)) {
+                    seen.holderKilled++;
+                } else {
+                    seen.doubleRuns++;
+                    out.println("  ran twice, " + (after - before) / 1_000_000 + " ms apart: " + name);
+                }
+            }
+        }
+    }
+
+    private void sit(Random random) {
+        List<Key> keys = new ArrayList<>();
+        Desk desk = null;
+        while (!over && fault.get() == null) {
+            keys.removeIf(key -> System.currentTimeMillis() - key.since > KEY_MS);
+            boolean again = !keys.isEmpty() && random.nextDouble() < AGAIN;
+            if (!again) {
+                keys.add(new Key(Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong())));
+            }
+            Key key = again ? keys.get(random.nextInt(keys.size())) : keys.get(keys.size() - 1);
+            try {
+                if (desk != null && desk.closing()) {
+                    desk.close();
+                    desk = null;
+                }
+                desk = desk != null ? desk : new Desk(floor.address());
+                judge(key, desk.ask("save", references.incrementAndGet(), key.name, key.body));
+                LockSupport.parkNanos(random.nextInt(THINK) * 1_000_000L);
+            } catch (IOException ended) {
+                boolean kill = System.nanoTime() - killedAt < TimeUnit.MILLISECONDS.toNanos(KILL_MS);
+                (kill ? seen.lostByKills : seen.lost).incrementAndGet();
+                if (!kill) {
+                    out.println("  no answer: " + ended);
+                }
+                try {
+                    if (desk != null) {
+                        desk.close();
+                    }
+                } catch (IOException e) {
+                    fault.compareAndSet(null, e);
+                }
+                desk = null;
+                LockSupport.parkNanos(20_000_000);
+            }
+        }
+    }
+
+    private void judge(Key key, Desk.Reply reply) {
+        List<Long> begun = floor.pool().begun(key.body);
+        boolean ran = !begun.isEmpty() && forgotten.stream().noneMatch(at -> at >= begun.get(begun.size() - 1));
+        switch (reply.word()) {
+            case "done" -> {
+                seen.served.incrementAndGet();
+                if (key.result != null) {
+                    seen.replayed.incrementAndGet();
+                }
+                boolean own = new String(reply.body(), StandardCharsets.ISO_8859_1).startsWith(key.body + " run ");
+                // After the only holder was killed a further run may give other bytes.
+                if (!own || key.result != null && !Arrays.equals(key.result, reply.body()) && begun.size() < 2) {
+                    seen.otherBytes.incrementAndGet();
+                    out.println("  other bytes for " + key.body);
+                }
+                key.result = reply.body();
+            }
+            case "later" -> {
+                seen.refused.incrementAndGet();
+                if (ran) {
+                    seen.refusedAfterRun.incrementAndGet();
+                    out.println("  refused after a run: " + key.body);
+                }
+            }
+            default -> seen.failed.incrementAndGet();
+        }
+    }
+
+    // ---- Builds of this project's history ----
+
+    /** The jars of earlier builds, made from the repository's own commits; those that cannot be had are left out. */
+    private static List<Path> history(boolean make, PrintStream out) throws IOException, InterruptedException {
+        List<Path> jars = new ArrayList<>();
+        for (String commit : HISTORY) {
+            Path folder = Path.of("target", "builds", commit);
+            Path jar = folder.resolve("target/wharftrestle.jar");
+            if (!Files.exists(jar) && make) {
+                Files.createDirectories(folder);
+                new ProcessBuilder("sh", "-c", "git archive " + commit + " | tar -x -C " + folder + " && cd " + folder
+                        + " && mvn -q -B -DskipTests package").redirectErrorStream(true)
+                        .redirectOutput(ProcessBuilder.Redirect.DISCARD).start().waitFor();
+            }
+            if (Files.exists(jar)) {
+                jars.add(jar);
+            } else {
+                out.println("  the build of " + commit + " is left out: it is not here, or there is no history");
+            }
+        }
+        return jars;
+    }
+
+    public static void main(String[] args) throws Exception {
+        boolean brief = "1".equals(System.getenv("SHORT"));
+        long seed = args.length > 0 ? Long.parseLong(args[0]) : System.nanoTime();
+        String wanted = System.getenv("CHANGES");
+        int changes = wanted != null ? Integer.parseInt(wanted) : brief ? 7 : 500;
+        System.exit(prove(changes, !brief, seed, System.out) ? 0 : 1);
+    }
+
+    /** Plays all ways and says so on one line. */
+    static boolean prove(int changes, boolean history, long seed, PrintStream out) throws Exception {
+        out.println("prove-change: seed " + seed);
+        List<Path> builds = history ? history(true, out) : List.of();
+        Seen off = play(false, false, changes - changes / 2, seed, builds, out);
+        out.println("  nothing on disk: " + off);
+        Seen on = play(true, false, changes / 2, seed, builds, out);
+        out.println("  kept results: " + on);
+        Seen mutant = play(false, true, Math.min(6, changes), seed, List.of(),
+                new PrintStream(OutputStream.nullOutputStream()));
+        out.println("  without the agreement: " + mutant);
+        boolean holds = off.holds() && on.holds() && on.holderKilled == 0 && mutant.doubleRuns > 0
+                && off.replayed.get() > 0;
+        out.printf(Locale.ROOT, "prove-change: %s, nothing on disk: %s; kept results: %s; without the agreement: %d "
+                + "double runs, %d refused after a run, %d never ended%n", holds ? "holds" : "falls short", off, on,
+                mutant.doubleRuns, mutant.refusedAfterRun.get(), mutant.unfinished);
+        return holds;
+    }
+}
--- /dev/null
+++ b/src/test/java/wharftrestle/prove/ProveChangeTest.java
@@ -0,0 +1,17 @@
+package wharftrestle.prove;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The brief form of the proof that a box can be changed and changed back; {@code make prove-change} is the long one. */
+class ProveChangeTest {
+    private static final long SEED = 20261201;
+
+    @Test
+    @Timeout(180)
+    void aBoxIsChangedAndChangedBackAndNothingRunsTwice() throws Exception {
+        assertTrue(ProveChange.prove(7, false, SEED, System.out));
+    }
+}
--- a/src/test/java/wharftrestle/prove/ProveMemory.java
+++ b/src/test/java/wharftrestle/prove/ProveMemory.java
@@ -20,6 +20,9 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.apache.commons.math3.stat.regression.SimpleRegression;
+import wharftrestle.lab.Daemon;
+import wharftrestle.lab.Desk;
+import wharftrestle.lab.Floor;
 
 /**
  * Proves that memory holds on long days: real daemons are asked keyed requests with bodies and results of the largest
@@ -138,11 +141,11 @@
         }
         SimpleRegression level = new SimpleRegression();
         long began = System.nanoTime();
-        for (double at = 0; at < lives * life && floor.alive() && seen.lost.get() == 0
+        for (double at = 0; at < lives * life && floor.daemon().alive() && seen.lost.get() == 0
                 && (bounded || seen.wrong.get() == 0);
                 at = (System.nanoTime() - began) / 1e9) {
-            Floor.Own own = floor.own();
-            seen.residentMb = Math.max(seen.residentMb, floor.memoryKb("VmRSS") / 1024.0);
+            Daemon.Own own = floor.daemon().own();
+            seen.residentMb = Math.max(seen.residentMb, floor.daemon().memoryKb("VmRSS") / 1024.0);
             seen.ownMb = Math.max(seen.ownMb, own.heap() + own.outside());
             seen.heapMb = Math.max(seen.heapMb, own.heap());
             if (at > 1.15 * life) {
@@ -154,7 +157,7 @@
             }
             LockSupport.parkNanos(500_000_000);
         }
-        seen.ended = !floor.alive();
+        seen.ended = !floor.daemon().alive();
         over = true;
         for (Thread desk : desks) {
             desk.join();
@@ -168,7 +171,7 @@
 
     private String status() {
         try {
-            return floor.get("/_status");
+            return floor.daemon().get("/_status");
         } catch (IOException e) {
             return "";   // the desks say what is lost
         }
--- a/src/test/java/wharftrestle/prove/ProveResults.java
+++ b/src/test/java/wharftrestle/prove/ProveResults.java
@@ -14,6 +14,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
+import wharftrestle.lab.Desk;
+import wharftrestle.lab.Floor;
+import wharftrestle.lab.WorkerPool;
 
 /**
  * Proves that no keyed request runs twice over restarts: a real daemon is killed at moments drawn from a seed while desks
@@ -129,7 +132,7 @@
             throw new IllegalStateException("a desk failed", fault.get());
         }
         seen.doubleRuns = floor.doubleRuns();
-        seen.keys = floor.runs.size();
+        seen.keys = floor.bodies();
         return seen;
     }
 
@@ -140,7 +143,7 @@
         long late = random.nextInt(3000) * 1000L;   // ns: the writes and syncs that follow lie within 3 ms
         Object moment = new Object();
         boolean[] now = {kind == 0};
-        floor.watch(new Floor.Moments() {
+        floor.watch(new WorkerPool.Moments() {
             private void take(boolean wanted) {
                 if (wanted) {
                     synchronized (moment) {
@@ -167,7 +170,7 @@
             }
         }
         LockSupport.parkNanos(late);
-        floor.kill();
+        floor.daemon().kill();
         floor.watch(null);
     }
 
