Keep one box: start its daemon, change it, watch the change and take it back by itself

Need: a change of one box was typed by hand, and nothing took it back.

Change: package box (not on the platform): Keeper decides without I/O (states in its comment), Releases knows whole releases from half ones by their digests, StepLog and Found let a keeper that was killed find and adopt its daemons, BoxKeeper carries out. Commands box run, change, back, status, pack, releases; limits by box(...) in the settings. A process that waits for its box takes the platform's address or none.

--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -267,7 +267,6 @@
 
     @Override
     public boolean bind(boolean alone) {
-        boolean all = !leaves();
         for (Server front : fronts()) {
             try {
                 if (!leaves() && !front.listening()) {
@@ -276,10 +275,12 @@
             } catch (IOException e) {
                 // Guards against one address that is taken ending the process that others rely on.
                 Logger.error("cannot listen at {}: {}", front.address(), e.getMessage());
-                all = false;
+            }
+            if (!resp.listening()) {
+                break;   // without the first there is no use in the other, which would take connections and serve none
             }
         }
-        return all || leaves();
+        return resp.listening();
     }
 
     @Override
--- a/src/main/java/wharftrestle/Main.java
+++ b/src/main/java/wharftrestle/Main.java
@@ -15,6 +15,7 @@
 import picocli.CommandLine.Option;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
+import wharftrestle.box.BoxCommand;
 import wharftrestle.durable.ResultsFolder;
 import wharftrestle.durable.UnusableException;
 import wharftrestle.net.Config;
@@ -47,7 +48,7 @@
         CommandLine line = new CommandLine(new Main());
         if (args.length == 0 || !AT_WORK.contains(args[0])) {
             // The daemon's start pays for every command that picocli is told of: operators' tools are left out there.
-            line.addSubcommand(new SettingsOf()).addSubcommand(new Results());
+            line.addSubcommand(new SettingsOf()).addSubcommand(new Results()).addSubcommand(new BoxCommand());
         }
         line.setParameterExceptionHandler((e, given) -> complain(e.getMessage()));
         line.setExecutionExceptionHandler((e, command, parsed) -> {
@@ -81,7 +82,7 @@
     @Override
     public void run() {
         throw new CommandLine.ParameterException(spec.commandLine(),
-                "name a command: serve, console, settings, results, adapter or version");
+                "name a command: serve, console, settings, results, box, adapter or version");
     }
 
     /** The daemon. */
--- a/src/main/java/wharftrestle/Succession.java
+++ b/src/main/java/wharftrestle/Succession.java
@@ -30,7 +30,7 @@
         /** What this process says of itself, but for the room that its keys have. */
         Terms terms();
 
-        /** Has the clients' addresses, beside the other process or alone; false where one cannot be had. */
+        /** Has the clients' addresses, beside the other process or alone; false where the platform's cannot be had. */
         boolean bind(boolean alone);
 
         /** Takes clients at the addresses that it has. */
--- /dev/null
+++ b/src/main/java/wharftrestle/box/Found.java
@@ -0,0 +1,64 @@
+package wharftrestle.box;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+
+/**
+ * What a keeper finds as it begins: its journal, and which of the daemons named there live. It decides which of them
+ * serves, and which is to be ended. Pure: whether a process lives is asked of the caller.
+ *
+ * @param release   that serves, or served last
+ * @param good      to go back to; empty for none
+ * @param serves    the daemon that serves; null where none lives
+ * @param probation it had not held its probation yet
+ * @param end       daemons that live and are to be ended: they came for a change that nobody watches any more
+ */
+record Found(String release, String good, StepLog.Entry serves, boolean probation, List<StepLog.Entry> end) {
+
+    /** @param lives true where the process of a "started" step lives */
+    static Found of(List<StepLog.Entry> steps, Predicate<StepLog.Entry> lives) {
+        String release = "";
+        String good = "";
+        StepLog.Entry serves = null;
+        StepLog.Entry comes = null;
+        boolean probation = false;
+        for (StepLog.Entry step : steps) {
+            switch (step.what()) {
+                case "started" -> {
+                    if (step.role().equals(Keeper.Role.COMES.name())) {
+                        comes = step;
+                    } else {
+                        serves = step;
+                        release = step.release();
+                        probation = false;
+                    }
+                }
+                case "promoted" -> {
+                    release = step.release();
+                    serves = comes != null && comes.pid() == step.pid() ? comes : serves;
+                    comes = null;
+                    probation = true;
+                }
+                case "ended" -> {
+                    comes = comes != null && comes.pid() == step.pid() ? null : comes;
+                    serves = serves != null && serves.pid() == step.pid() ? null : serves;
+                }
+                case "held" -> probation = false;
+                default -> { }
+            }
+            good = step.good();
+        }
+        boolean servesLives = serves != null && lives.test(serves);
+        boolean comesLives = comes != null && lives.test(comes);
+        List<StepLog.Entry> end = new ArrayList<>();
+        if (!servesLives && comesLives) {
+            // The one that served is gone, so this one has found out and serves.
+            return new Found(comes.release(), release, comes, true, end);
+        }
+        if (comesLives) {
+            end.add(comes);
+        }
+        return new Found(release, good, servesLives ? serves : null, servesLives && probation, end);
+    }
+}
--- a/src/main/java/wharftrestle/settings/Schema.java
+++ b/src/main/java/wharftrestle/settings/Schema.java
@@ -60,6 +60,15 @@
                 field("patience_ms", whole(10, 5000), 300L, "a disk that is silent for longer counts as stalled"),
                 field("sync", choice(SYNCS, "each", "none"), SYNCS,
                         "group: records share a sync; each: one a record; none: a loss of power may lose some"));
+        declare("box", "the keeper of one box: when a change is undone, and how a daemon that dies is started again",
+                field("ready_s", number(1, 600), 20.0, "seconds in which a daemon has to serve"),
+                field("probation_s", number(0, 86_400), 60.0, "seconds for which a new release is watched"),
+                field("worse_failed", number(0, 1), 0.02, "part of answers by which failures may grow with a new release"),
+                field("worse_refused", number(0, 1), 0.05, "part of answers by which refusals may grow"),
+                field("least_answers", whole(1, 1_000_000), 50L, "answers below which a new release's figures say nothing"),
+                field("pause_s", number(0.05, 600), 0.5, "seconds before a daemon that died is started again; doubles"),
+                field("most_pause_s", number(0.05, 3600), 30.0, "seconds of the longest pause"),
+                field("deaths", whole(1, 100), 3L, "deaths in a row after which the release before is started"));
     }
 
     private Schema() { }
--- a/src/main/java/wharftrestle/settings/Settings.java
+++ b/src/main/java/wharftrestle/settings/Settings.java
@@ -138,6 +138,11 @@
                 ? address.getAddress().getHostAddress() + ":" + address.getPort() : String.valueOf(value);
     }
 
+    /** One value, as the script or the schema has it. */
+    public Object value(String name, String field) {
+        return declares(name) ? get(name, field) : Schema.ALL.get(name).fields().get(field).initial();
+    }
+
     /** What the daemon opens and keeps besides the platform's front. */
     public Config.Appliance appliance() {
         Config.Durable durable = !declares("durable") ? null : new Config.Durable(
--- a/src/test/java/wharftrestle/BordersTest.java
+++ b/src/test/java/wharftrestle/BordersTest.java
@@ -42,6 +42,11 @@
     @ArchTest
     static final ArchRule theServingPathKnowsNoRigAndNoKeeper = noClasses().that()
             .resideOutsideOfPackages("wharftrestle.lab..", "wharftrestle.box..")
-            .and().haveSimpleNameNotStartingWith("Operators")
+            .and().doNotHaveSimpleName("Main")
             .should().dependOnClassesThat().resideInAnyPackage("wharftrestle.lab..", "wharftrestle.box..");
+
+    @ArchTest
+    static final ArchRule theKeeperDecidesWithoutIo = noClasses().that().haveFullyQualifiedName("wharftrestle.box.Keeper")
+            .or().haveFullyQualifiedName("wharftrestle.box.Found").should().dependOnClassesThat().resideInAnyPackage(
+                    "java.io..", "java.net..", "java.nio..", "java.time..", "java.util.concurrent..", "org.tinylog..");
 }
--- a/src/test/java/wharftrestle/prove/ProveChange.java
+++ b/src/test/java/wharftrestle/prove/ProveChange.java
@@ -49,6 +49,9 @@
     /** One way to be: what a process is, and whether it can take over from any other here. */
     private record Way(String name, Floor.Version version, boolean fits, boolean former) { }
 
+    /** A refusal of what had begun to run before, on the clock of System.nanoTime. */
+    private record Refusal(String body, long begun, long at) { }
+
     private static final class Key {
         private final String name;
         private final String body;
@@ -110,6 +113,7 @@
     private final AtomicLong references = new AtomicLong(1);
     /** When the only process that held the keys was killed, on the clock of System.nanoTime. */
     private final List<Long> forgotten = new CopyOnWriteArrayList<>();
+    private final List<Refusal> refusals = new CopyOnWriteArrayList<>();
     private volatile long killedAt = Long.MIN_VALUE / 2;
     private volatile boolean over;
 
@@ -289,14 +293,24 @@
         return which;
     }
 
-    /** Counts keys that ran twice, and tells those apart whose only holder was killed in between. */
+    private boolean forgottenBetween(long before, long after) {
+        return forgotten.stream().anyMatch(at -> before <= at + TimeUnit.MILLISECONDS.toNanos(50) && at <= after);
+    }
+
+    /** Counts keys that ran twice or were refused after a run; those whose only holder was killed between are told apart. */
     private void count() {
+        for (Refusal each : refusals) {
+            if (!forgottenBetween(each.begun(), each.at())) {
+                seen.refusedAfterRun.incrementAndGet();
+                out.println("  refused after a run: " + each);
+            }
+        }
         for (String name : floor.pool().names()) {
             List<Long> begun = floor.pool().begun(name);
             for (int i = 1; i < begun.size(); i++) {
                 long before = begun.get(i - 1);
                 long after = begun.get(i);
-                if (forgotten.stream().anyMatch(at -> before <= at + TimeUnit.MILLISECONDS.toNanos(50) && at <= after)) {
+                if (forgottenBetween(before, after)) {
                     seen.holderKilled++;
                 } else {
                     seen.doubleRuns++;
@@ -345,7 +359,6 @@
 
     private void judge(Key key, Desk.Reply reply) {
         List<Long> begun = floor.pool().begun(key.body);
-        boolean ran = !begun.isEmpty() && forgotten.stream().noneMatch(at -> at >= begun.get(begun.size() - 1));
         switch (reply.word()) {
             case "done" -> {
                 seen.served.incrementAndGet();
@@ -362,9 +375,8 @@
             }
             case "later" -> {
                 seen.refused.incrementAndGet();
-                if (ran) {
-                    seen.refusedAfterRun.incrementAndGet();
-                    out.println("  refused after a run: " + key.body);
+                if (!begun.isEmpty()) {
+                    refusals.add(new Refusal(key.body, begun.get(begun.size() - 1), System.nanoTime()));
                 }
             }
             default -> seen.failed.incrementAndGet();
