Put links that fail between real processes, by scripts that are checked before they start

Need: what happens where paths between processes are cut, held or slowed was not played anywhere.

In the settings' language words may take values by place and be worth something.

--- a/src/main/java/wharftrestle/Main.java
+++ b/src/main/java/wharftrestle/Main.java
@@ -18,6 +18,7 @@
 import wharftrestle.box.BoxCommand;
 import wharftrestle.durable.ResultsFolder;
 import wharftrestle.durable.UnusableException;
+import wharftrestle.lab.LabCommand;
 import wharftrestle.net.Config;
 import wharftrestle.ops.Console;
 import wharftrestle.settings.BadSettingsException;
@@ -48,7 +49,8 @@
         CommandLine line = new CommandLine(new Main());
         if (args.length == 0 || !AT_WORK.contains(args[0])) {
             // The daemon's start pays for every command that picocli is told of: operators' tools are left out there.
-            line.addSubcommand(new SettingsOf()).addSubcommand(new Results()).addSubcommand(new BoxCommand());
+            line.addSubcommand(new SettingsOf()).addSubcommand(new Results()).addSubcommand(new BoxCommand())
+                    .addSubcommand(new LabCommand());
         }
         line.setParameterExceptionHandler((e, given) -> complain(e.getMessage()));
         line.setExecutionExceptionHandler((e, command, parsed) -> {
@@ -82,7 +84,7 @@
     @Override
     public void run() {
         throw new CommandLine.ParameterException(spec.commandLine(),
-                "name a command: serve, console, settings, results, box, adapter or version");
+                "name a command: serve, console, settings, results, box, lab, adapter or version");
     }
 
     /** The daemon. */
--- /dev/null
+++ b/src/main/java/wharftrestle/lab/Callers.java
@@ -0,0 +1,226 @@
+package wharftrestle.lab;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Stand-in front ends that ask keyed requests and repeat them, and the checker of what they are told: lost, given other
+ * bytes, run twice, refused after a run. The worker pool knows what ran; what they count is held against that, and never
+ * against what a daemon says of itself.
+ */
+public final class Callers {
+    /** Part of requests that repeat a key. */
+    private static final double AGAIN = 0.4;
+    /** Milliseconds that a caller waits between two requests, at most. */
+    private static final int THINK = 30;
+    /** Milliseconds of clocks' and threads' error between a kill and what was seen of it. */
+    private static final long BLUR_MS = 50;
+
+    /** A refusal of what had begun to run before, on the clock of System.nanoTime. */
+    private record Refusal(String body, long begun, long at) { }
+
+    private static final class Key {
+        private final String name;
+        private final String body;
+        private final long since = System.currentTimeMillis();
+        private byte[] result;
+
+        Key(String name) {
+            this.name = name;
+            this.body = "note of " + name;
+        }
+    }
+
+    /** What was seen; the rules are broken where the first five are not 0. */
+    public record Tally(int runTwice, int refusedAfterRun, int otherBytes, int lost, int unknown, int runTwiceHolderKilled,
+                        int lostExcused, int served, int again, int failed, int refused) {
+        /** True where no rule was broken. */
+        public boolean holds() {
+            return runTwice == 0 && refusedAfterRun == 0 && otherBytes == 0 && lost == 0 && unknown == 0;
+        }
+
+        @Override
+        public String toString() {
+            return String.format(Locale.ROOT, "%d run twice, %d refused after a run, %d other bytes, %d lost, %d unknown "
+                    + "answers; where the only holder of keys was killed %d more run twice, by kills and cuts %d lost; "
+                    + "%d served, %d of them again, %d failed, %d refused", runTwice, refusedAfterRun, otherBytes, lost,
+                    unknown, runTwiceHolderKilled, lostExcused, served, again, failed, refused);
+        }
+    }
+
+    private final InetSocketAddress to;
+    private final WorkerPool pool;
+    private final BooleanSupplier excused;
+    private final long keyMs;
+    private final List<Thread> desks = new ArrayList<>();
+    private final List<Refusal> refusals = new CopyOnWriteArrayList<>();
+    private final List<Long> forgotten = new CopyOnWriteArrayList<>();
+    private final AtomicInteger served = new AtomicInteger();
+    private final AtomicInteger again = new AtomicInteger();
+    private final AtomicInteger failed = new AtomicInteger();
+    private final AtomicInteger refused = new AtomicInteger();
+    private final AtomicInteger otherBytes = new AtomicInteger();
+    private final AtomicInteger unknown = new AtomicInteger();
+    private final AtomicInteger lost = new AtomicInteger();
+    private final AtomicInteger lostExcused = new AtomicInteger();
+    private final AtomicLong references;
+    private final AtomicReference<Throwable> fault = new AtomicReference<>();
+    private volatile boolean over;
+
+    /**
+     * @param excused true while a connection may end without its answer, as something was killed or cut
+     * @param keyMs   for which a key is repeated; inside its window
+     */
+    public Callers(InetSocketAddress to, WorkerPool pool, int many, long keyMs, long seed, BooleanSupplier excused) {
+        this.to = to;
+        this.pool = pool;
+        this.keyMs = keyMs;
+        this.excused = excused;
+        Random random = new Random(seed);
+        references = new AtomicLong(1 + (seed & 0xffff) << 32);
+        for (int i = 0; i < many; i++) {
+            long mine = random.nextLong();
+            Thread desk = new Thread(() -> {
+                try {
+                    sit(new Random(mine));
+                } catch (RuntimeException | Error e) {
+                    fault.compareAndSet(null, e);
+                }
+            }, "desk " + i);
+            desk.setDaemon(true);
+            desks.add(desk);
+        }
+    }
+
+    public void start() {
+        desks.forEach(Thread::start);
+    }
+
+    /** The only process that held the keys was killed then: what ran before may run again. On System.nanoTime's clock. */
+    public void forgotten(long at) {
+        forgotten.add(at);
+    }
+
+    /** Requests that were refused up to now. */
+    public int refused() {
+        return refused.get();
+    }
+
+    /** Answers that were results up to now. */
+    public int served() {
+        return served.get();
+    }
+
+    /** Ends all callers. */
+    public void stop() throws InterruptedException {
+        over = true;
+        for (Thread desk : desks) {
+            desk.join();
+        }
+        if (fault.get() != null) {
+            throw new IllegalStateException("a caller failed", fault.get());
+        }
+    }
+
+    private boolean forgottenBetween(long before, long after) {
+        return forgotten.stream().anyMatch(at -> before <= at + TimeUnit.MILLISECONDS.toNanos(BLUR_MS) && at <= after);
+    }
+
+    /** What was seen; counted anew at each call. */
+    public Tally tally() {
+        int twice = 0;
+        int twiceHolderKilled = 0;
+        for (String name : pool.names()) {
+            List<Long> begun = pool.begun(name);
+            for (int i = 1; i < begun.size(); i++) {
+                if (forgottenBetween(begun.get(i - 1), begun.get(i))) {
+                    twiceHolderKilled++;
+                } else {
+                    twice++;
+                }
+            }
+        }
+        int afterRun = (int) refusals.stream().filter(each -> !forgottenBetween(each.begun(), each.at())).count();
+        return new Tally(twice, afterRun, otherBytes.get(), lost.get(), unknown.get(), twiceHolderKilled, lostExcused.get(),
+                served.get(), again.get(), failed.get(), refused.get());
+    }
+
+    private void sit(Random random) {
+        List<Key> keys = new ArrayList<>();
+        Desk desk = null;
+        while (!over) {
+            keys.removeIf(key -> System.currentTimeMillis() - key.since > keyMs);
+            boolean repeats = !keys.isEmpty() && random.nextDouble() < AGAIN;
+            if (!repeats) {
+                keys.add(new Key(Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong())));
+            }
+            Key key = repeats ? keys.get(random.nextInt(keys.size())) : keys.get(keys.size() - 1);
+            try {
+                if (desk != null && desk.closing()) {
+                    desk.close();
+                    desk = null;
+                }
+                desk = desk != null ? desk : new Desk(to);
+                judge(key, desk.ask("save", references.incrementAndGet(), key.name, key.body));
+                LockSupport.parkNanos(random.nextInt(THINK) * 1_000_000L);
+            } catch (IOException ended) {
+                (excused.getAsBoolean() ? lostExcused : lost).incrementAndGet();
+                try {
+                    if (desk != null) {
+                        desk.close();
+                    }
+                } catch (IOException e) {
+                    fault.compareAndSet(null, e);
+                }
+                desk = null;
+                LockSupport.parkNanos(20_000_000);
+            }
+        }
+        if (desk != null) {
+            try {
+                desk.close();
+            } catch (IOException e) {
+                fault.compareAndSet(null, e);
+            }
+        }
+    }
+
+    private void judge(Key key, Desk.Reply reply) {
+        List<Long> begun = pool.begun(key.body);
+        switch (reply.word()) {
+            case "done" -> {
+                served.incrementAndGet();
+                if (key.result != null) {
+                    again.incrementAndGet();
+                }
+                boolean own = new String(reply.body(), StandardCharsets.ISO_8859_1).startsWith(key.body + " run ");
+                // Where it ran again, which is counted, the bytes are others.
+                if (!own || key.result != null && !Arrays.equals(key.result, reply.body()) && begun.size() < 2) {
+                    otherBytes.incrementAndGet();
+                }
+                key.result = reply.body();
+            }
+            case "later" -> {
+                refused.incrementAndGet();
+                if (!begun.isEmpty()) {
+                    refusals.add(new Refusal(key.body, begun.get(begun.size() - 1), System.nanoTime()));
+                }
+            }
+            case "error" -> failed.incrementAndGet();
+            default -> unknown.incrementAndGet();
+        }
+    }
+}
--- a/src/main/java/wharftrestle/lab/Floor.java
+++ b/src/main/java/wharftrestle/lab/Floor.java
@@ -91,17 +91,29 @@
     private final Version version;
     private final Play play;
     private final List<Daemon> all = new ArrayList<>();
+    private final Map<String, Link> links = new HashMap<>();
     private int started;
     private int soleDoor;
     private Daemon daemon;
 
     /** @param script the operators' settings; empty for none */
     public Floor(Path folder, String script, long seed, Play play) throws IOException {
+        this(folder, script, seed, play, false);
+    }
+
+    /** @param linked whether a link that can fail lies on each path */
+    public Floor(Path folder, String script, long seed, Play play, boolean linked) throws IOException {
         this.folder = folder;
         this.play = play;
         random = new Random(seed);
         listen = freePort();
         pool = new WorkerPool(null, random, LONGEST_RUN, play.longestResult());
+        if (linked) {
+            links.put("front", new Link(new InetSocketAddress(HOST, listen), seed));
+            links.put("pool", new Link(pool.address(), seed + 100));
+            links.put("store", new Link((InetSocketAddress) idle.getLocalSocketAddress(), seed + 200));
+            links.put("names", new Link((InetSocketAddress) naming.getLocalSocketAddress(), seed + 300));
+        }
         version = new Version(null, play.main(), settings(), script);
         soleDoor = freePort();
         Files.writeString(folder.resolve("config.json"), config(version.settings(), soleDoor));
@@ -141,7 +153,22 @@
     }
 
     public InetSocketAddress address() {
-        return new InetSocketAddress(HOST, listen);
+        return new InetSocketAddress(HOST, through("front", listen));
+    }
+
+    /** The link on a path: "front", "pool", "store" or "names"; null where there is none. */
+    public Link link(String path) {
+        return links.get(path);
+    }
+
+    /** Where this floor's files lie. */
+    public Path folder() {
+        return folder;
+    }
+
+    private int through(String path, int port) {
+        Link link = links.get(path);
+        return link == null ? port : link.address().getPort();
     }
 
     private static String none(String value, Settings set) {
@@ -165,7 +192,8 @@
                    "classSkipWorth": [%s], "downstream": "none", "gauges": ["cpu_busy", "runnable"], "heeded": 1,
                    "keepaliveMax": 30, "keyKb": 1, "linger": 0.2, "listFollows": true, "memoryKb": 720000, "nCores": 32,
                    "preemption": "pause", "runFactor": 2, "say": "weight", "shareFor": 0, "tellsGone": true}}}
-                """.formatted(listen, pool.address().getPort(), idle.getLocalPort(), naming.getLocalPort(), door,
+                """.formatted(listen, through("pool", pool.address().getPort()), through("store", idle.getLocalPort()),
+                through("names", naming.getLocalPort()), door,
                 set.memoryMb(),
                 String.join(",\n", set.classes()), none("false", set), none("0", set));
     }
@@ -262,6 +290,9 @@
                 Thread.currentThread().interrupt();
             }
         }
+        for (Link link : links.values()) {
+            link.close();
+        }
         pool.close();
         idle.close();
         naming.close();
--- a/src/main/java/wharftrestle/settings/Script.java
+++ b/src/main/java/wharftrestle/settings/Script.java
@@ -72,7 +72,13 @@
     interface Declarations {
         boolean knows(String name);
 
-        void declare(Declared declared) throws Fault;
+        /** Takes a call; its value is what the call is worth within the script. */
+        Object declare(Declared declared) throws Fault;
+
+        /** The names of values that may be given by their place; none where all are given by name. */
+        default List<String> order(String name) {
+            return List.of();
+        }
     }
 
     /** A function of the script. */
@@ -497,17 +503,21 @@
         boolean hidden = locals.containsKey(name) || globals.containsKey(name);
         if (!hidden && declarations.knows(name)) {
             Map<String, Given> given = new LinkedHashMap<>();
+            List<String> order = declarations.order(name);
+            int placed = 0;
             for (ArgumentContext argument : call.argument()) {
-                if (argument.NAME() == null) {
-                    throw new Fault(place(argument), name + " takes its values by name: " + name + "(name = value)");
+                if (argument.NAME() == null && placed >= order.size()) {
+                    throw new Fault(place(argument), order.isEmpty()
+                            ? name + " takes its values by name: " + name + "(name = value)"
+                            : name + " takes " + order.size() + " values: " + String.join(", ", order));
                 }
+                String to = argument.NAME() == null ? order.get(placed++) : argument.NAME().getText();
                 Given one = new Given(value(argument.expr()), place(argument.expr()));
-                if (given.put(argument.NAME().getText(), one) != null) {
-                    throw new Fault(place(argument), "'" + argument.NAME().getText() + "' stands twice");
+                if (given.put(to, one) != null) {
+                    throw new Fault(place(argument), "'" + to + "' stands twice");
                 }
             }
-            declarations.declare(new Declared(name, given, place(call)));
-            return NONE;
+            return declarations.declare(new Declared(name, given, place(call)));
         }
         Builtin builtin = hidden ? null : Builtin.of(name);
         if (builtin != null) {
--- a/src/main/java/wharftrestle/settings/Settings.java
+++ b/src/main/java/wharftrestle/settings/Settings.java
@@ -65,8 +65,9 @@
                 }
 
                 @Override
-                public void declare(Script.Declared given) throws Script.Fault {
+                public Object declare(Script.Declared given) throws Script.Fault {
                     settings.take(name, given);
+                    return Script.NONE;
                 }
             });
         } catch (Script.Fault fault) {
--- a/src/test/java/wharftrestle/prove/ProveChange.java
+++ b/src/test/java/wharftrestle/prove/ProveChange.java
@@ -3,25 +3,19 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
+import wharftrestle.lab.Callers;
 import wharftrestle.lab.Daemon;
-import wharftrestle.lab.Desk;
 import wharftrestle.lab.Floor;
 
 /**
@@ -35,9 +29,6 @@
     private static final int DESKS = 4;
     /** Milliseconds for which a key is repeated: inside the shortest window that is played. */
     private static final long KEY_MS = 9_000;
-    /** Part of requests that repeat a key. */
-    private static final double AGAIN = 0.4;
-    private static final int THINK = 30;
     /** Milliseconds in which a change ends, on top of what a process was stopped for. */
     private static final long READY_MS = 15_000;
     /** Milliseconds for which the one that serves is watched after a change that cannot be. */
@@ -49,43 +40,18 @@
     /** One way to be: what a process is, and whether it can take over from any other here. */
     private record Way(String name, Floor.Version version, boolean fits, boolean former) { }
 
-    /** A refusal of what had begun to run before, on the clock of System.nanoTime. */
-    private record Refusal(String body, long begun, long at) { }
-
-    private static final class Key {
-        private final String name;
-        private final String body;
-        private final long since = System.currentTimeMillis();
-        private byte[] result;
-
-        Key(String name) {
-            this.name = name;
-            this.body = "note of " + name;
-        }
-    }
-
     /** What was seen. */
     static final class Seen {
-        final AtomicInteger served = new AtomicInteger();
-        final AtomicInteger replayed = new AtomicInteger();
-        final AtomicInteger failed = new AtomicInteger();
-        final AtomicInteger refused = new AtomicInteger();
-        final AtomicInteger refusedAfterRun = new AtomicInteger();
-        final AtomicInteger otherBytes = new AtomicInteger();
-        final AtomicInteger lost = new AtomicInteger();
-        final AtomicInteger lostByKills = new AtomicInteger();
+        Callers.Tally tally;
         final List<Long> readyMs = new ArrayList<>();
         final Map<String, Integer> ended = new TreeMap<>();
         int changes;
         int stops;
         int kills;
         int unfinished;
-        int doubleRuns;
-        int holderKilled;
 
         boolean holds() {
-            return doubleRuns == 0 && refusedAfterRun.get() == 0 && otherBytes.get() == 0 && lost.get() == 0
-                    && unfinished == 0;
+            return tally.holds() && unfinished == 0;
         }
 
         private long ready(double part) {
@@ -97,11 +63,7 @@
         @Override
         public String toString() {
             return String.format(Locale.ROOT, "%d changes %s, %d stops, %d kills, ready after %d ms (median; most %d), %d "
-                    + "never ended, %d double runs, %d more where the only holder was killed, %d refused after a run, %d "
-                    + "other bytes, %d lost, %d lost by kills (%d served, %d again, %d failed, %d refused)", changes,
-                    ended, stops, kills,
-                    ready(0.5), ready(1), unfinished, doubleRuns, holderKilled, refusedAfterRun.get(), otherBytes.get(),
-                    lost.get(), lostByKills.get(), served.get(), replayed.get(), failed.get(), refused.get());
+                    + "never ended; %s", changes, ended, stops, kills, ready(0.5), ready(1), unfinished, tally);
         }
     }
 
@@ -109,13 +71,8 @@
     private final Seen seen = new Seen();
     private final PrintStream out;
     private final List<Way> ways;
-    private final AtomicReference<Throwable> fault = new AtomicReference<>();
-    private final AtomicLong references = new AtomicLong(1);
-    /** When the only process that held the keys was killed, on the clock of System.nanoTime. */
-    private final List<Long> forgotten = new CopyOnWriteArrayList<>();
-    private final List<Refusal> refusals = new CopyOnWriteArrayList<>();
     private volatile long killedAt = Long.MIN_VALUE / 2;
-    private volatile boolean over;
+    private Callers callers;
 
     private ProveChange(Floor floor, List<Way> ways, PrintStream out) {
         this.floor = floor;
@@ -171,21 +128,10 @@
         if (!old.awaitReady(READY_MS)) {
             throw new IOException("the first process did not start:\n" + old.log());
         }
-        List<Thread> desks = new ArrayList<>();
-        for (int i = 0; i < DESKS; i++) {
-            long seed = random.nextLong();
-            Thread desk = new Thread(() -> {
-                try {
-                    sit(new Random(seed));
-                } catch (RuntimeException | Error e) {
-                    fault.compareAndSet(null, e);
-                }
-            }, "desk " + i);
-            desk.setDaemon(true);
-            desk.start();
-            desks.add(desk);
-        }
-        for (int i = 0; i < changes && fault.get() == null; i++) {
+        callers = new Callers(floor.address(), floor.pool(), DESKS, KEY_MS, random.nextLong(),
+                () -> System.nanoTime() - killedAt < TimeUnit.MILLISECONDS.toNanos(KILL_MS));
+        callers.start();
+        for (int i = 0; i < changes; i++) {
             Way next = ways.get(1 + i % (ways.size() - 1));
             // An earlier build that serves says no terms and asks for none: it is changed back to this one as it is.
             next = random.nextInt(3) == 0 || serves.former() ? ways.get(0) : next;
@@ -193,18 +139,13 @@
             serves = now == old ? serves : next;
             old = now;
             if ((i + 1) % 20 == 0) {
+                seen.tally = callers.tally();
                 out.println("  " + seen);
             }
         }
         LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(500));
-        over = true;
-        for (Thread desk : desks) {
-            desk.join();
-        }
-        if (fault.get() != null) {
-            throw new IllegalStateException("a desk failed", fault.get());
-        }
-        count();
+        callers.stop();
+        seen.tally = callers.tally();
         return seen;
     }
 
@@ -240,7 +181,7 @@
                 return unfinished(now, "did not serve after the old one was killed");
             }
             if (!now.log().contains("to OPENING by")) {
-                forgotten.add(killedAt);   // it had not been given the keys: they died with their only holder
+                callers.forgotten(killedAt);   // it had not been given the keys: they died with their only holder
             }
             return now;
         }
@@ -270,9 +211,9 @@
     /** A process that cannot take over: the one that serves has to go on as if never asked. */
     private Daemon refused(Daemon old, Daemon now) throws Exception {
         LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(WATCH_MS + 800));
-        int refused = seen.refused.get();
+        int refused = callers.refused();
         LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(WATCH_MS));
-        if (!old.ready() || now.ready() || seen.refused.get() - refused > 20) {
+        if (!old.ready() || now.ready() || callers.refused() - refused > 20) {
             return unfinished(old, "did not serve on as if never asked");
         }
         now.kill();
@@ -293,96 +234,6 @@
         return which;
     }
 
-    private boolean forgottenBetween(long before, long after) {
-        return forgotten.stream().anyMatch(at -> before <= at + TimeUnit.MILLISECONDS.toNanos(50) && at <= after);
-    }
-
-    /** Counts keys that ran twice or were refused after a run; those whose only holder was killed between are told apart. */
-    private void count() {
-        for (Refusal each : refusals) {
-            if (!forgottenBetween(each.begun(), each.at())) {
-                seen.refusedAfterRun.incrementAndGet();
-                out.println("  refused after a run: " + each);
-            }
-        }
-        for (String name : floor.pool().names()) {
-            List<Long> begun = floor.pool().begun(name);
-            for (int i = 1; i < begun.size(); i++) {
-                long before = begun.get(i - 1);
-                long after = begun.get(i);
-                if (forgottenBetween(before, after)) {
-                    seen.holderKilled++;
-                } else {
-                    seen.doubleRuns++;
-                    out.println("  ran twice, " + (after - before) / 1_000_000 + " ms apart: " + name);
-                }
-            }
-        }
-    }
-
-    private void sit(Random random) {
-        List<Key> keys = new ArrayList<>();
-        Desk desk = null;
-        while (!over && fault.get() == null) {
-            keys.removeIf(key -> System.currentTimeMillis() - key.since > KEY_MS);
-            boolean again = !keys.isEmpty() && random.nextDouble() < AGAIN;
-            if (!again) {
-                keys.add(new Key(Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong())));
-            }
-            Key key = again ? keys.get(random.nextInt(keys.size())) : keys.get(keys.size() - 1);
-            try {
-                if (desk != null && desk.closing()) {
-                    desk.close();
-                    desk = null;
-                }
-                desk = desk != null ? desk : new Desk(floor.address());
-                judge(key, desk.ask("save", references.incrementAndGet(), key.name, key.body));
-                LockSupport.parkNanos(random.nextInt(THINK) * 1_000_000L);
-            } catch (IOException ended) {
-                boolean kill = System.nanoTime() - killedAt < TimeUnit.MILLISECONDS.toNanos(KILL_MS);
-                (kill ? seen.lostByKills : seen.lost).incrementAndGet();
-                if (!kill) {
-                    out.println("  no answer: " + ended);
-                }
-                try {
-                    if (desk != null) {
-                        desk.close();
-                    }
-                } catch (IOException e) {
-                    fault.compareAndSet(null, e);
-                }
-                desk = null;
-                LockSupport.parkNanos(20_000_000);
-            }
-        }
-    }
-
-    private void judge(Key key, Desk.Reply reply) {
-        List<Long> begun = floor.pool().begun(key.body);
-        switch (reply.word()) {
-            case "done" -> {
-                seen.served.incrementAndGet();
-                if (key.result != null) {
-                    seen.replayed.incrementAndGet();
-                }
-                boolean own = new String(reply.body(), StandardCharsets.ISO_8859_1).startsWith(key.body + " run ");
-                // After the only holder was killed a further run may give other bytes.
-                if (!own || key.result != null && !Arrays.equals(key.result, reply.body()) && begun.size() < 2) {
-                    seen.otherBytes.incrementAndGet();
-                    out.println("  other bytes for " + key.body);
-                }
-                key.result = reply.body();
-            }
-            case "later" -> {
-                seen.refused.incrementAndGet();
-                if (!begun.isEmpty()) {
-                    refusals.add(new Refusal(key.body, begun.get(begun.size() - 1), System.nanoTime()));
-                }
-            }
-            default -> seen.failed.incrementAndGet();
-        }
-    }
-
     // ---- Builds of this project's history ----
 
     /** The jars of earlier builds, made from the repository's own commits; those that cannot be had are left out. */
@@ -425,11 +276,11 @@
         Seen mutant = play(false, true, Math.min(6, changes), seed, List.of(),
                 new PrintStream(OutputStream.nullOutputStream()));
         out.println("  without the agreement: " + mutant);
-        boolean holds = off.holds() && on.holds() && on.holderKilled == 0 && mutant.doubleRuns > 0
-                && off.replayed.get() > 0;
+        boolean holds = off.holds() && on.holds() && on.tally.runTwiceHolderKilled() == 0
+                && mutant.tally.runTwice() > 0 && off.tally.again() > 0;
         out.printf(Locale.ROOT, "prove-change: %s, nothing on disk: %s; kept results: %s; without the agreement: %d "
                 + "double runs, %d refused after a run, %d never ended%n", holds ? "holds" : "falls short", off, on,
-                mutant.doubleRuns, mutant.refusedAfterRun.get(), mutant.unfinished);
+                mutant.tally.runTwice(), mutant.tally.refusedAfterRun(), mutant.unfinished);
         return holds;
     }
 }
