--- a/src/main/java/wharftrestle/box/BoxKeeper.java
+++ b/src/main/java/wharftrestle/box/BoxKeeper.java
@@ -33,6 +33,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.tinylog.Logger;
 
 /**
@@ -69,6 +70,7 @@
     private static final long LOOK_MS = 100;
     private static final int DOOR_MS = 1000;
     private static final int LONGEST_ORDER = 200;
+    private static final String GONE = "no the keeper goes";
     private static final String SOCKET = "keeper.sock";
     /** What the door's figures of answers end with: served, refused, failed. */
     private static final String[] FIGURES = {"succeeded", "declined", "aborted"};
@@ -82,6 +84,7 @@
     private final List<Running> ending = new ArrayList<>();
     private final BlockingQueue<Order> orders = new LinkedBlockingQueue<>();
     private final PrintStream out;
+    private final Consumer<StepLog.Entry> before;
     private ServerSocketChannel socket;
     private int logs;
     private volatile boolean over;
@@ -92,8 +95,15 @@
      * @throws TakenException where another keeper has it
      */
     public BoxKeeper(Places places, Keeper.Limits limits, PrintStream out) throws IOException, TakenException {
+        this(places, limits, out, step -> { });
+    }
+
+    /** The same with one who is told of each step before it is written, so that tests can end the keeper there. */
+    BoxKeeper(Places places, Keeper.Limits limits, PrintStream out, Consumer<StepLog.Entry> before)
+            throws IOException, TakenException {
         this.places = places;
         this.out = out;
+        this.before = before;
         releases = new Releases(places.releases());
         keeper = new Keeper(limits);
         Files.createDirectories(places.state());
@@ -122,6 +132,7 @@
                     "its change had no keeper any more");
             handle(each).ifPresent(ProcessHandle::destroyForcibly);
         }
+        found.leave().forEach(each -> handle(each).ifPresent(ProcessHandle::destroy));
         if (found.serves() != null) {
             StepLog.Entry serves = found.serves();
             running.put(Keeper.Role.SERVES, new Running(serves.pid(), serves.began(), serves.door(), serves.release(),
@@ -139,12 +150,22 @@
             }
             carryOut(keeper.run(start, found.good(), now()));
         }
-        while (!over) {
-            Order order = orders.poll(LOOK_MS, TimeUnit.MILLISECONDS);
+        Order order = null;
+        try {
+            while (!over) {
+                order = orders.poll(LOOK_MS, TimeUnit.MILLISECONDS);
+                if (order != null) {
+                    order.answer().add(obey(order.text()));
+                }
+                look();
+            }
+        } finally {
+            // Guards against somebody who waits for ever for a keeper that has gone.
+            over = true;
             if (order != null) {
-                order.answer().add(obey(order.text()));
+                order.answer().add(GONE);
             }
-            look();
+            orders.forEach(each -> each.answer().add(GONE));
         }
     }
 
@@ -221,6 +242,9 @@
             if (line != null && line.length() <= LONGEST_ORDER) {
                 Order order = new Order(line, new LinkedBlockingQueue<>());
                 orders.add(order);
+                if (over) {
+                    order.answer().add(GONE);
+                }
                 caller.write(ByteBuffer.wrap((order.answer().take() + "\n").getBytes(StandardCharsets.UTF_8)));
             }
         } catch (IOException e) {
@@ -431,6 +455,7 @@
             throws IOException {
         StepLog.Entry entry = new StepLog.Entry(System.currentTimeMillis(), what, role.name(), release, keeper.good(), pid,
                 began, door, why);
+        before.accept(entry);
         try {
             journal.add(entry);
         } catch (IOException full) {
--- a/src/main/java/wharftrestle/box/Found.java
+++ b/src/main/java/wharftrestle/box/Found.java
@@ -13,8 +13,10 @@
  * @param serves    the daemon that serves; null where none lives
  * @param probation it had not held its probation yet
  * @param end       daemons that live and are to be ended: they came for a change that nobody watches any more
+ * @param leave     daemons that live and were to leave: the keeper may have died before it said so to them
  */
-record Found(String release, String good, StepLog.Entry serves, boolean probation, List<StepLog.Entry> end) {
+record Found(String release, String good, StepLog.Entry serves, boolean probation, List<StepLog.Entry> end,
+             List<StepLog.Entry> leave) {
 
     /** @param lives true where the process of a "started" step lives */
     static Found of(List<StepLog.Entry> steps, Predicate<StepLog.Entry> lives) {
@@ -23,6 +25,7 @@
         StepLog.Entry serves = null;
         StepLog.Entry comes = null;
         boolean probation = false;
+        List<StepLog.Entry> leave = new ArrayList<>();
         for (StepLog.Entry step : steps) {
             switch (step.what()) {
                 case "started" -> {
@@ -41,6 +44,9 @@
                     probation = true;
                 }
                 case "ended" -> {
+                    if (lives.test(step)) {
+                        leave.add(step);
+                    }
                     comes = comes != null && comes.pid() == step.pid() ? null : comes;
                     serves = serves != null && serves.pid() == step.pid() ? null : serves;
                 }
@@ -54,11 +60,11 @@
         List<StepLog.Entry> end = new ArrayList<>();
         if (!servesLives && comesLives) {
             // The one that served is gone, so this one has found out and serves.
-            return new Found(comes.release(), release, comes, true, end);
+            return new Found(comes.release(), release, comes, true, end, leave);
         }
         if (comesLives) {
             end.add(comes);
         }
-        return new Found(release, good, servesLives ? serves : null, servesLives && probation, end);
+        return new Found(release, good, servesLives ? serves : null, servesLives && probation, end, leave);
     }
 }
--- a/src/test/java/wharftrestle/box/BoxTest.java
+++ b/src/test/java/wharftrestle/box/BoxTest.java
@@ -11,13 +11,16 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 import java.util.jar.Attributes;
 import java.util.jar.JarOutputStream;
 import java.util.jar.Manifest;
@@ -27,6 +30,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import wharftrestle.lab.Desk;
 import wharftrestle.lab.Floor;
 
@@ -89,18 +94,29 @@
     }
 
     private void keep(String first) throws Exception {
-        keeper = new BoxKeeper(places(), LIMITS, new PrintStream(OutputStream.nullOutputStream()));
+        keep(first, step -> { });
+    }
+
+    private void keep(String first, Consumer<StepLog.Entry> before) throws Exception {
+        keeper = new BoxKeeper(places(), LIMITS, new PrintStream(OutputStream.nullOutputStream()), before);
         BoxKeeper mine = keeper;
         runs = new Thread(() -> {
             try {
                 mine.run(first);
             } catch (IOException | InterruptedException e) {
                 throw new IllegalStateException(e);
+            } catch (Killed killed) {
+                return;
             }
         });
         runs.start();
     }
 
+    /** Ends a keeper at a step of its journal. */
+    private static final class Killed extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+    }
+
     /** As by a kill: what it was doing is left as it is. */
     private void stop() throws Exception {
         if (keeper != null) {
@@ -216,6 +232,49 @@
         await("serving", "two");
     }
 
+    /** The steps of a start and a change: starting, started, serves; starting, started, ended, promoted, held. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 3, 4, 5, 6, 7, 8})
+    void aKeeperThatEndsAtAnyStepIsFollowedByOneThatEndsOrUndoesTheChange(int step) throws Exception {
+        AtomicInteger steps = new AtomicInteger();
+        keep("one", each -> {
+            if (steps.incrementAndGet() == step) {
+                throw new Killed();
+            }
+        });
+        while (runs.isAlive()) {
+            if (steps.get() == 3 && status().path("state").asText().equals("serving")) {
+                order("change two");
+            }
+            LockSupport.parkNanos(10_000_000);
+        }
+        stop();
+        keep("one");
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(40);
+        JsonNode now = status();
+        while (!now.path("state").asText().equals("serving") || now.has("comes")
+                || !now.path("serves").path("ready").asBoolean() || alive() != 1) {
+            assertTrue(System.nanoTime() < until, "after step " + step + " it is " + now + " with " + alive());
+            LockSupport.parkNanos(20_000_000);
+            now = status();
+        }
+        assertTrue(now.path("release").asText().matches("one|two"));
+        String result = ask("k");
+        assertEquals(result, ask("k"));
+    }
+
+    /** Daemons of this box that live, by what their environment says. */
+    private long alive() {
+        return ProcessHandle.allProcesses().filter(each -> {
+            try {
+                return Files.readString(Path.of("/proc/" + each.pid() + "/environ"), StandardCharsets.ISO_8859_1)
+                        .contains("TMPDIR=" + state);
+            } catch (IOException gone) {
+                return false;
+            }
+        }).count();
+    }
+
     @Test
     void aDaemonThatDiesIsStartedAgainAfterAPause() throws Exception {
         keep("one");
