Bench two builds side by side, and turn daemons of earlier stories away from a story's worker pool

Seen: a story of UpgradeTest waited 10 s for its stand-in pool to be called, once, beside a whole run of all tests. Cause, by reading: daemons of earlier stories look for their worker pool for ever; where a new story's pool has that port, the old one's 'bind N' has a number beyond its notices, and the exception ended the stand-in's accept loop (Loopback.servePool). Not seen again in five plays, so the mend is by the code alone.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Shortcuts; 'mvn -B verify' is what counts.
-.PHONY: build deployed test lint run prove-results prove-memory prove-change bench-change bench-results bench-memory measure-candidates
+.PHONY: build deployed test lint run prove-results prove-memory prove-change bench-change bench-builds bench-results bench-memory measure-candidates
 
 build:
 	mvn -q -B -DskipTests package
@@ -41,6 +41,10 @@
 bench-change: build target/classpath
 	java -cp $(CLASSES) wharftrestle.prove.BenchChange $(SEED)
 
+# CPU of two builds in turn: make bench-builds OLD=a.jar NEW=b.jar
+bench-builds: build target/classpath
+	java -cp $(CLASSES) wharftrestle.prove.BenchBuilds $(OLD) $(NEW)
+
 # Results in blocks against a plain map of arrays.
 bench-memory: build target/classpath
 	java -cp $(CLASSES) wharftrestle.bench.ResultStructures
--- a/src/test/java/wharftrestle/Loopback.java
+++ b/src/test/java/wharftrestle/Loopback.java
@@ -160,8 +160,20 @@
             Socket socket = pool.accept();
             socket.setTcpNoDelay(true);
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            String[] bind = Bytes.line(in, 100).split(" ");
+            String[] bind;
+            try {
+                socket.setSoTimeout((int) WAIT_S * 1000);
+                bind = Bytes.line(in, 100).split(" ");
+                socket.setSoTimeout(0);
+            } catch (IOException gone) {
+                continue;
+            }
             synchronized (notices) {
+                if (Integer.parseInt(bind[1]) > notices.size()) {
+                    // Of a daemon of an earlier story, whose worker pool had this port: it looks for it for ever.
+                    socket.close();
+                    continue;
+                }
                 link = socket;
                 mute = false;
                 write(socket, "bound old 12.750\r\n");
