Keep the ports of stories that are over, so that their daemons reach no other story's worker pool

Cause: daemons of earlier stories look for their worker pool for ever, and a story whose pool had such a port took the stranger for its own daemon (Loopback.servePool sets link). Ruled out: the hand-over, whose steps in the log are those of the stories that pass.

Change: the port of a story that is over stays taken.

--- a/src/test/java/wharftrestle/Loopback.java
+++ b/src/test/java/wharftrestle/Loopback.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
@@ -57,6 +58,9 @@
     private final List<long[]> work = new ArrayList<>();
     /** Where set, the worker pool reads the present link and says nothing on it; a new one is served. */
     volatile boolean mute;
+    /** Worker pools of stories that are over, so that their ports are nobody else's. */
+    private static final List<ServerSocket> KEPT = new CopyOnWriteArrayList<>();
+    private volatile boolean over;
     private volatile Socket link;
 
     /** Descriptors that the daemon is told it may have. */
@@ -158,6 +162,9 @@
     private void servePool(ServerSocket pool) throws Exception {
         for (;;) {
             Socket socket = pool.accept();
+            if (over) {
+                return;   // and the port stays taken
+            }
             socket.setTcpNoDelay(true);
             InputStream in = new BufferedInputStream(socket.getInputStream());
             String[] bind;
@@ -446,7 +453,10 @@
     public void close() throws IOException {
         life.close();
         cores.shutdownNow();
-        pool.close();
+        // Guards against another story having this port: the daemon of this one looks for its worker pool for ever, and
+        // would be taken for that story's own.
+        over = true;
+        KEPT.add(pool);
         store.close();
         naming.close();
         if (link != null) {
