Refuse daemons of stories that are over, at ports that stay taken

Need: a port kept by a listener that answers nothing had each such daemon wait 2 s and log a line, again and again. Change: the port is bound and nobody listens there; where it is not free yet it is let go.

--- a/src/test/java/wharftrestle/Loopback.java
+++ b/src/test/java/wharftrestle/Loopback.java
@@ -58,9 +58,8 @@
     private final List<long[]> work = new ArrayList<>();
     /** Where set, the worker pool reads the present link and says nothing on it; a new one is served. */
     volatile boolean mute;
-    /** Worker pools of stories that are over, so that their ports are nobody else's. */
-    private static final List<ServerSocket> KEPT = new CopyOnWriteArrayList<>();
-    private volatile boolean over;
+    /** At the ports of worker pools of stories that are over, so that they are nobody else's; nobody listens there. */
+    private static final List<Socket> KEPT = new CopyOnWriteArrayList<>();
     private volatile Socket link;
 
     /** Descriptors that the daemon is told it may have. */
@@ -162,9 +161,6 @@
     private void servePool(ServerSocket pool) throws Exception {
         for (;;) {
             Socket socket = pool.accept();
-            if (over) {
-                return;   // and the port stays taken
-            }
             socket.setTcpNoDelay(true);
             InputStream in = new BufferedInputStream(socket.getInputStream());
             String[] bind;
@@ -455,12 +451,20 @@
         cores.shutdownNow();
         // Guards against another story having this port: the daemon of this one looks for its worker pool for ever, and
         // would be taken for that story's own.
-        over = true;
-        KEPT.add(pool);
-        store.close();
-        naming.close();
+        InetSocketAddress port = at(pool);
+        pool.close();
         if (link != null) {
             link.close();
         }
+        Socket taken = new Socket();
+        taken.setReuseAddress(true);
+        try {
+            taken.bind(port);
+            KEPT.add(taken);
+        } catch (IOException notFree) {
+            taken.close();   // what is left of its connections has it for now
+        }
+        store.close();
+        naming.close();
     }
 }
