Wait less for the mutant in the proof of changes, which nothing gets out of its states

Seen: the brief form took 81 s on a clean checkout, as the play without the agreement waited 15 s for each process that is never ready. Change: 3 s there.

--- a/src/test/java/wharftrestle/prove/ProveChange.java
+++ b/src/test/java/wharftrestle/prove/ProveChange.java
@@ -71,6 +71,7 @@
     private final Seen seen = new Seen();
     private final PrintStream out;
     private final List<Way> ways;
+    private final long readyMs;
     private volatile boolean killing;      // until another process serves
     private volatile long killedAt = Long.MIN_VALUE / 2;
     private Callers callers;
@@ -78,6 +79,8 @@
     private ProveChange(Floor floor, List<Way> ways, PrintStream out) {
         this.floor = floor;
         this.ways = ways;
+        // The mutant is left in states that nothing gets out of: it is not waited for as long.
+        readyMs = ways.get(0).version().main().equals("wharftrestle.Main") ? READY_MS : READY_MS / 5;
         this.out = out;
     }
 
@@ -126,7 +129,7 @@
     private Seen play(int changes, Random random) throws Exception {
         Way serves = ways.get(0);
         Daemon old = floor.begin(serves.version());
-        if (!old.awaitReady(READY_MS)) {
+        if (!old.awaitReady(readyMs)) {
             throw new IOException("the first process did not start:\n" + old.log());
         }
         callers = new Callers(floor.address(), floor.pool(), DESKS, KEY_MS, random.nextLong(),
@@ -181,7 +184,7 @@
         if (killed && victim == old) {
             ended("took over from a killed one");
             long at = killedAt;
-            if (!now.awaitReady(READY_MS)) {
+            if (!now.awaitReady(readyMs)) {
                 return unfinished(now, "did not serve after the old one was killed");
             }
             served();
@@ -192,7 +195,7 @@
         }
         if (killed) {
             ended("as before, the new one was killed");
-            if (!old.awaitReady(READY_MS)) {
+            if (!old.awaitReady(readyMs)) {
                 return unfinished(old, "did not serve on after the new one was killed");
             }
             served();
@@ -202,7 +205,7 @@
             ended("refused");
             return refused(old, now);
         }
-        if (!now.awaitReady(READY_MS + wait)) {
+        if (!now.awaitReady(readyMs + wait)) {
             return unfinished(now, "was never ready (" + serves.name() + " to " + next.name() + ")");
         }
         ended("changed");
