Start at a site without a store: 'db' is needed only where runs call below

The site has no store, its settings say so (downstream none), and its configuration leaves 'db' empty. Lines: Config.read, which asked for an address under 'db' whatever the settings said.

Change: no address is needed where runs call nothing; one that is told must be one all the same. A call that such a site's worker pool asks for never ran. A reload that takes the store from runs that call below is turned down as any other unusable file is.

--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -488,12 +488,17 @@
             Logger.warn("the new configuration cannot be used, the old one holds: {}", e.getMessage());
             return;
         }
+        if (next.db() == null && config.settings().downstream() != Admission.Downstream.NONE) {
+            // Guards against a file of another site leaving runs that call below without their store.
+            Logger.warn("the new configuration cannot be used, the old one holds: it names no store");
+            return;
+        }
         pool.moveTo(next.pool());
         store.moveTo(next.db());
         reporter.moveTo(next.naming());
         counters.add(Counters.Count.RELOADS);
         Logger.info("{} has a new configuration: pool {}, store {}, name service {}", config.name(), next.pool(),
-                next.db(), next.naming());
+                next.db() == null ? "none" : next.db(), next.naming());
     }
 
     /** The notice to leave; only the first counts. */
--- a/src/main/java/wharftrestle/net/Config.java
+++ b/src/main/java/wharftrestle/net/Config.java
@@ -15,7 +15,7 @@
 /**
  * Owns what the program is told at its start: the platform's configuration, and where the processes of an upgrade
  * meet. What operators set comes from {@code settings}, in the records below. It must never fill in what is missing or
- * wrong: that is one plain line in a {@link BadConfigException}.
+ * wrong: that is one plain line in a {@link BadConfigException}. {@code db} is null at a site whose runs call nothing.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress pool, InetSocketAddress db,
                      InetSocketAddress naming, InetSocketAddress console, long seed, double stopSeconds, int sockets,
@@ -123,13 +123,14 @@
         String door = environment.getOrDefault("EDGE_CONSOLE", "").isBlank() ? root.path("console").asText()
                 : environment.get("EDGE_CONSOLE");
         try {
+            Admission.Settings settings = SettingsReader.read(root.get("settings"));
             return new Config(name, address("listen", listen), address("pool", root.path("pool").asText()),
-                    address("db", root.path("db").asText()), address("naming", root.path("naming").asText()),
+                    store(root.path("db"), settings), address("naming", root.path("naming").asText()),
                     door.isBlank() ? null : address("console", door.trim()),
                     Long.parseUnsignedLong(root.path("seed").asText("0"), 16),
                     root.path("stop_ms").asDouble(3000) / 1000, root.path("limits").path("sockets").asInt(1024),
                     root.path("limits").path("memory_mb").asDouble(192), meeting(environment.get("TMPDIR"), name),
-                    SettingsReader.read(root.get("settings")));
+                    settings);
         } catch (NumberFormatException e) {
             throw new BadConfigException("the configuration's 'seed' is no hexadecimal number");
         } catch (MalformedLineException e) {
@@ -137,6 +138,12 @@
         }
     }
 
+    /** The store's address; null where there is none and the settings say that no run calls below. */
+    private static InetSocketAddress store(JsonNode told, Admission.Settings settings) throws BadConfigException {
+        return told.asText("").isBlank() && settings.downstream() == Admission.Downstream.NONE ? null
+                : address("db", told.asText());
+    }
+
     /** Where the two processes of an upgrade meet; null, and with it no upgrade, where there is no such folder. */
     private static Path meeting(String folder, String name) {
         return folder == null || folder.isBlank() ? null
--- a/src/main/java/wharftrestle/net/StoreClient.java
+++ b/src/main/java/wharftrestle/net/StoreClient.java
@@ -148,6 +148,9 @@
             try {
                 if (link == null) {
                     InetSocketAddress to = address;
+                    if (to == null) {
+                        return new Reply(Outcome.UNREACHABLE, null, false);
+                    }
                     Socket made = new Socket();
                     uses(made);
                     made.setTcpNoDelay(true);
@@ -186,6 +189,7 @@
         }
     }
 
+    /** @param address null at a site whose runs call nothing: a call that is asked for all the same never ran */
     public StoreClient(InetSocketAddress address, Counters counters) {
         this.address = address;
         this.counters = counters;
--- a/src/test/java/wharftrestle/Loopback.java
+++ b/src/test/java/wharftrestle/Loopback.java
@@ -103,7 +103,7 @@
     }
 
     private Config config(Sites.Builder site) {
-        return new Config("n1", elder == null ? any() : elder.life.respAddress(), at(pool), at(store),
+        return new Config("n1", elder == null ? any() : elder.life.respAddress(), at(pool), site.calls ? at(store) : null,
                 new InetSocketAddress(HOST, naming.getLocalPort()), any(), 7, 3.2, sockets, 192, meeting, site.build());
     }
 
