Read the mark of further tries and the hint of a request's work, which sites may send

Observed: Resp.arrival read neither, and Core.arrive told the module 'no further try, no hint' for every request, so that at a site with both the module orders by class means alone and takes every storm of further tries for first tries (marksRetry is true there, and RETRY_STORM never met). Ruled out: the module, whose own tests cover both. Lines: Resp.arrival (fields), Core.arrive (the request's second and eighth argument).

Change: both are read, checked (a hint of 0 to ten hours, a mark that is a whole number) and passed on; the uwsgi front has neither. Nothing changes where they are not sent.

--- a/src/main/java/wharftrestle/core/Core.java
+++ b/src/main/java/wharftrestle/core/Core.java
@@ -32,9 +32,14 @@
  */
 public final class Core implements Admission.Actions {
 
-    /** One try as a front read it; {@code door} is Unix time in ms, {@code key} is null where there is none. */
-    public record Arrival(String ref, int classIndex, int tenantIndex, double heldKb, int caller, double rank,
-                          String key, String subject, long door, byte[] body) { }
+    /**
+     * One try as a front read it; {@code door} is Unix time in ms, {@code key} is null where there is none.
+     *
+     * @param further its sender marked it as a further try, or a second copy
+     * @param cost    seconds of work on one core to expect, rough; 0 where not told
+     */
+    public record Arrival(String ref, boolean further, int classIndex, int tenantIndex, double heldKb, int caller,
+                          double rank, double cost, String key, String subject, long door, byte[] body) { }
 
     /** The final answer; retryAfter in seconds, 0 for no advice. */
     public record Answer(Kind kind, byte[] result, double retryAfter, boolean nowhereElse) {
@@ -478,8 +483,8 @@
                 return;
             }
             task.entry = prior;
-            module.arrived(now, new Admission.Request(task.id, false, lay, a.classIndex(), a.tenantIndex(),
-                    a.heldKb(), a.caller(), 0, a.subject(),
+            module.arrived(now, new Admission.Request(task.id, a.further(), lay, a.classIndex(), a.tenantIndex(),
+                    a.heldKb(), a.caller(), a.cost(), a.subject(),
                     !repeat ? 0 : prior.holder() == null ? ELSEWHERE : prior.holder().id, 0, a.rank()));
             settle(now);
         } finally {
--- a/src/main/java/wharftrestle/front/Resp.java
+++ b/src/main/java/wharftrestle/front/Resp.java
@@ -33,6 +33,8 @@
     private static final int MOST_OPEN = 32;
     /** Memory booked for a request stays under this, in kB. */
     private static final double MOST_RAM = 2000;
+    /** Milliseconds of work that may be told, in ten hours: more is a slip of its sender. */
+    private static final double MOST_CPU_MS = 36_000_000;
     /** Milliseconds by which a request may be stamped ahead of this clock, and behind it. */
     private static final long EARLY_MS = 1000;
     private static final long STALE_MS = 600_000;
@@ -196,23 +198,27 @@
         }
         double ram;
         double standing;
+        double cpu;
         long caller;
         long door;
+        long second;
         try {
             ram = Bytes.decimal(fields.getOrDefault("ram", ""));
             standing = Bytes.decimal(fields.getOrDefault("standing", ""));
+            cpu = Bytes.decimal(fields.getOrDefault("cpu", "0"));
+            second = Bytes.number(fields.getOrDefault("second", "0"), Integer.MAX_VALUE);
             caller = Bytes.number(fields.getOrDefault("lb", ""), Integer.MAX_VALUE);
             door = Bytes.number(fields.getOrDefault("door", ""), Long.MAX_VALUE);
         } catch (IOException e) {
             throw new InvalidException(e.getMessage());
         }
         long now = System.currentTimeMillis();
-        if (ram <= 0 || ram >= MOST_RAM || standing < 0 || standing >= 1 || door > now + EARLY_MS
-                || door < now - STALE_MS) {
+        if (ram <= 0 || ram >= MOST_RAM || standing < 0 || standing >= 1 || cpu < 0 || cpu > MOST_CPU_MS
+                || door > now + EARLY_MS || door < now - STALE_MS) {
             throw new InvalidException("a figure out of range");
         }
-        return new Core.Arrival(ref, type, tenant, ram, (int) caller, standing, key, item, Math.min(door, now),
-                words.length > 4 ? words[4] : new byte[0]);
+        return new Core.Arrival(ref, second > 0, type, tenant, ram, (int) caller, standing, cpu / 1000, key, item,
+                Math.min(door, now), words.length > 4 ? words[4] : new byte[0]);
     }
 
     private record Answering(Server.Connection connection, Map<String, Object> open, String tag)
--- a/src/main/java/wharftrestle/front/Uwsgi.java
+++ b/src/main/java/wharftrestle/front/Uwsgi.java
@@ -170,8 +170,8 @@
             throw new Status("400 Bad Request", "this class needs an Idempotency-Key of 1 to "
                     + LONGEST_KEY + " characters");
         }
-        return new Core.Arrival(String.format("%016x", references.addAndGet(0x9E3779B97F4A7C15L)), type, tenant,
-                heldKb, -1, ranks[type], keyed ? key : null, null, System.currentTimeMillis(), body);
+        return new Core.Arrival(String.format("%016x", references.addAndGet(0x9E3779B97F4A7C15L)), false, type, tenant,
+                heldKb, -1, ranks[type], 0, keyed ? key : null, null, System.currentTimeMillis(), body);
     }
 
     private static Map<String, String> vars(byte[] block) throws MalformedException {
--- a/src/test/java/wharftrestle/CoreTest.java
+++ b/src/test/java/wharftrestle/CoreTest.java
@@ -83,7 +83,7 @@
     }
 
     private static Core.Arrival arrival(int number, double rank) {
-        return new Core.Arrival(String.format("%016x", number), 0, 0, 24, 1, rank, null, null,
+        return new Core.Arrival(String.format("%016x", number), false, 0, 0, 24, 1, rank, 0, null, null,
                 System.currentTimeMillis(), new byte[0]);
     }
 
@@ -111,7 +111,7 @@
     }
 
     private static Core.Arrival keyed(int number, String key) {
-        return new Core.Arrival(String.format("%016x", number), 2, 0, 24, 1, 0.5, key, null,
+        return new Core.Arrival(String.format("%016x", number), false, 2, 0, 24, 1, 0.5, 0, key, null,
                 System.currentTimeMillis(), new byte[] {1});
     }
 
--- a/src/test/java/wharftrestle/durable/CoreRecordsTest.java
+++ b/src/test/java/wharftrestle/durable/CoreRecordsTest.java
@@ -70,8 +70,8 @@
         private double took;
 
         Asked(String key, String body) {
-            core.accept(new Core.Arrival(ref, key == null ? 0 : 1, 0, 24, 1, 0.5, key, null, System.currentTimeMillis(),
-                    body.getBytes()), answer -> {
+            core.accept(new Core.Arrival(ref, false, key == null ? 0 : 1, 0, 24, 1, 0.5, 0, key, null,
+                    System.currentTimeMillis(), body.getBytes()), answer -> {
                         took = (System.nanoTime() - at) / 1e9;
                         answers.add(answer);
                     });
