Keep fewer connections at a small share of a core: every thread costs when it is held to it

Its process is seen stopped in 30 to 45 of 100 looks, and each of its 470 to 500 threads, idle ones too, switches 180 to 230 times a second: it is held to its share by being stopped and let go about 100 times a second, and each time every thread is woken, 9 us of its own share for each. At 490 threads that is 0.45 s a second: more than its share leaves, so it never comes back under it. With 380 threads its neighbours did, in one second. Ruled out by the same looks: garbage collection (VM thread 0.01 s a second), page faults (under 100 a second while it lasts, none from disk), threads that come and go (under 25 a second), idle looks at connections (200 ms at the least), the compiler (0.02). Lines: Lifecycle's reckoning of mostCallers, by descriptors and memory alone, never by the core.

Change: at most 320 connections for each core of the daemon's own share, 160 at half a core; the ways of making room stay as they are. limits.cores is read for it and stands in the settings' digest.

Test: OtherSitesTest, 120 callers at a tenth of a core; it fails without this.

--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -54,6 +54,12 @@
      * connects must not fill that.
      */
     private static final double CALLERS_SHARE = 0.6;
+    /**
+     * Connections for each core of its share. Whoever holds a process to its share by stopping it wakes each of its
+     * threads every time, at its cost: 0.9 ms a second for a thread, idle or not. With 490 of them at half a core that
+     * was 0.45 of the half, so that one that went over its share for a second never came back under it.
+     */
+    private static final int CALLERS_PER_CORE = 320;
     /** MB that the program takes besides its heap and the threads of connections and requests. */
     private static final double BASE_MB = 28;
     /** MB that its heap takes at most: deploy/run.sh gives it less where memory is short. */
@@ -141,7 +147,8 @@
         double heap = Math.min(HEAP_MB, Runtime.getRuntime().maxMemory() / 1048576.0);
         int threads = (int) (((1 - MARGIN) * config.memoryMb() - BASE_MB - heap) / THREAD_MB);
         mostRequests = Math.max(LEAST, Math.min(MOST_IN_HAND, threads / 2));
-        mostCallers = Math.max(LEAST, Math.min((int) (CALLERS_SHARE * config.sockets()), threads - mostRequests));
+        int callers = (int) Math.min(CALLERS_SHARE * config.sockets(), CALLERS_PER_CORE * config.cores());
+        mostCallers = Math.max(LEAST, Math.min(callers, threads - mostRequests));
         mostGateways = appliance.uwsgi() == null ? 0 : (int) (UWSGI_PART * mostCallers);
         counters = new Counters(config.settings().classes().stream().map(Admission.RequestClass::name).toList());
         core = new Core(config.settings(), config.seed(), mostRequests, room, GroupEdfScheduler::new, counters);
@@ -414,6 +421,11 @@
         return uwsgi == null ? null : uwsgi.address();
     }
 
+    /** Connections that front ends hold now. */
+    public int connections() {
+        return resp.connections().size();
+    }
+
     /** Connections that gateways hold now. */
     public int uwsgiConnections() {
         return uwsgi == null ? 0 : uwsgi.connections().size();
--- a/src/main/java/wharftrestle/net/Config.java
+++ b/src/main/java/wharftrestle/net/Config.java
@@ -15,11 +15,12 @@
 /**
  * Owns what the program is told at its start: the platform's configuration, and where the processes of an upgrade
  * meet. What operators set comes from {@code settings}, in the records below. It must never fill in what is missing or
- * wrong: that is one plain line in a {@link BadConfigException}. {@code db} is null at a site whose runs call nothing.
+ * wrong: that is one plain line in a {@link BadConfigException}. {@code db} is null at a site whose runs call nothing;
+ * {@code cores}, {@code sockets} and {@code memoryMb} are this process's limits, not the worker pool's.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress pool, InetSocketAddress db,
-                     InetSocketAddress naming, InetSocketAddress console, long seed, double stopSeconds, int sockets,
-                     double memoryMb, Path meeting, Admission.Settings settings) {
+                     InetSocketAddress naming, InetSocketAddress console, long seed, double stopSeconds, double cores,
+                     int sockets, double memoryMb, Path meeting, Admission.Settings settings) {
 
     /** Something that the program was told cannot be used. */
     public static final class BadConfigException extends Exception {
@@ -66,7 +67,7 @@
     public String canonical(Appliance appliance) {
         StringBuilder text = new StringBuilder(1024);
         Admission.Settings s = settings;
-        put(text, stopSeconds, sockets, memoryMb, s.peers(), s.callers(), s.cores(), s.memory(), s.runFactor(),
+        put(text, stopSeconds, cores, sockets, memoryMb, s.peers(), s.callers(), s.cores(), s.memory(), s.runFactor(),
                 s.keyMemory(), s.shareFor(), s.callShare(), s.callsOver(), s.linger(), s.answerSlack(), s.drainGrace(),
                 s.crowdMultiple(), s.crowdOver(), s.coldFrom(), s.coldFor(), s.maxRetryAfter(), s.overShareWorth(),
                 s.tick());
@@ -128,7 +129,8 @@
                     store(root.path("db"), settings), address("naming", root.path("naming").asText()),
                     door.isBlank() ? null : address("console", door.trim()),
                     Long.parseUnsignedLong(root.path("seed").asText("0"), 16),
-                    root.path("stop_ms").asDouble(3000) / 1000, root.path("limits").path("sockets").asInt(1024),
+                    root.path("stop_ms").asDouble(3000) / 1000, root.path("limits").path("cores").asDouble(1),
+                    root.path("limits").path("sockets").asInt(1024),
                     root.path("limits").path("memory_mb").asDouble(192), meeting(environment.get("TMPDIR"), name),
                     settings);
         } catch (NumberFormatException e) {
--- a/src/test/java/wharftrestle/Loopback.java
+++ b/src/test/java/wharftrestle/Loopback.java
@@ -104,12 +104,13 @@
 
     private Config config(Sites.Builder site) {
         return new Config("n1", elder == null ? any() : elder.life.respAddress(), at(pool), site.calls ? at(store) : null,
-                new InetSocketAddress(HOST, naming.getLocalPort()), any(), 7, 3.2, sockets, 192, meeting, site.build());
+                new InetSocketAddress(HOST, naming.getLocalPort()), any(), 7, 3.2, site.share, sockets, 192, meeting,
+                site.build());
     }
 
     /** The same addresses with another meeting place. */
     Config stranger(Path elsewhere) {
-        return new Config("n1", life.respAddress(), at(pool), at(store), any(), any(), 7, 3.2, sockets, 192, elsewhere,
+        return new Config("n1", life.respAddress(), at(pool), at(store), any(), any(), 7, 3.2, 1, sockets, 192, elsewhere,
                 life.core().settings());
     }
 
--- a/src/test/java/wharftrestle/OtherSitesTest.java
+++ b/src/test/java/wharftrestle/OtherSitesTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import wharftrestle.Loopback.Caller;
@@ -102,6 +104,31 @@
         assertTrue(further.fields().contains("giveup=1"), "most are on their way from a refusal: " + further.fields());
     }
 
+    @Test
+    void withASmallShareOfACoreIdleConnectionsGoBeforeTheirThreadsTakeIt() throws Exception {
+        Sites.Builder small = Sites.site();
+        small.share = 0.1;   // 32 connections, each with its thread
+        List<Caller> idle = new ArrayList<>();
+        try (Loopback site = new Loopback(small); Caller busy = site.new Caller()) {
+            ask(busy, 1, "read", "", "x");
+            assertEquals("spawn", site.command().verb());
+            for (int i = 0; i < 120; i++) {
+                idle.add(site.new Caller());
+                idle.get(i).send("STATUS", "1", "");
+                assertEquals("healthy", idle.get(i).reply().word());
+            }
+            // Beyond the most are those that were told to go and have a moment to hear of it.
+            assertTrue(site.life.connections() <= 32 + 16 + 1, site.life.connections() + " connections are held");
+            assertEquals("closing", idle.get(0).reply().word(), "the first that came has been told");
+            site.finish(ref(1), "good", 1, "fine");
+            assertEquals("fine", busy.reply().body(), "whoever is owed an answer stays");
+        } finally {
+            for (Caller each : idle) {
+                each.close();
+            }
+        }
+    }
+
     @Test
     void aRunThatLostItsAimIsStoppedAndItsKeyRunsNoMore() throws Exception {
         Sites.Builder hasty = Sites.site();
--- a/src/test/java/wharftrestle/Sites.java
+++ b/src/test/java/wharftrestle/Sites.java
@@ -40,6 +40,7 @@
         boolean worthByWork;
         double skipWorth;      // of an answer without its call
         double window = 12;    // in which a key may come again, in seconds
+        double share = 1;      // of a core that the daemon itself may use
         double haste = 1;      // times by which all clients wait less
 
         private Admission.RequestClass type(String name, double aim, double deadline, double worth, double late,
--- a/src/test/java/wharftrestle/version/VersionTest.java
+++ b/src/test/java/wharftrestle/version/VersionTest.java
@@ -41,7 +41,7 @@
 
     private static String canonical(Admission.Settings settings, int port, Config.Appliance appliance) {
         InetSocketAddress at = new InetSocketAddress("127.0.0.1", port);
-        return new Config("n", at, at, at, at, null, port, 3, 1024, 192, null, settings).canonical(appliance);
+        return new Config("n", at, at, at, at, null, port, 3, 1, 1024, 192, null, settings).canonical(appliance);
     }
 
     @Test
