--- /dev/null
+++ b/src/main/java/wharftrestle/lab/Holder.java
@@ -0,0 +1,136 @@
+package wharftrestle.lab;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Supplier;
+
+/**
+ * Holds the processes of one box to a share of the cores, together, by stopping them and letting them go: crowded cores,
+ * without a right to set limits. It owns a shell that sends the signals, as one process for each would cost more than is
+ * measured, and lets all go when it is closed. It must never leave a process stopped.
+ */
+public final class Holder implements Closeable {
+    private static final double TICK = 0.01;   // seconds of the kernel's figures
+    private static final double TURN = 0.1;    // the usual one; shorter ones could not be told apart by those figures
+    private static final long LOOK_NANOS = 1_000_000;
+
+    private final Supplier<List<Daemon>> whom;
+    private final Process shell;
+    private final OutputStream signals;
+    private final Thread thread = new Thread(this::hold, "holder");
+    private final Map<Long, Double> seen = new HashMap<>();
+    private final double cores;
+    private volatile boolean over;
+    private volatile IOException fault;
+    private volatile int stops;
+
+    /**
+     * @param whom  the processes of the box, which may change
+     * @param cores that they may use together
+     */
+    public Holder(Supplier<List<Daemon>> whom, double cores) throws IOException {
+        this.whom = whom;
+        this.cores = cores;
+        shell = new ProcessBuilder("/bin/sh", "-c", "while read signal id; do kill -$signal $id; done")
+                .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        signals = shell.getOutputStream();
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** How often they were stopped. */
+    public int stops() {
+        return stops;
+    }
+
+    private void hold() {
+        long began = System.nanoTime();
+        Share share = new Share(cores, TURN, 0, used());
+        boolean run = true;
+        try {
+            while (!over) {
+                boolean next = share.runs((System.nanoTime() - began) / 1e9, used());
+                if (next != run) {
+                    run = next;
+                    stops += run ? 0 : 1;
+                    signal(run ? "CONT" : "STOP");
+                }
+                LockSupport.parkNanos(LOOK_NANOS);
+            }
+        } catch (IOException e) {
+            fault = e;
+        } finally {
+            try {
+                signal("CONT");
+            } catch (IOException e) {
+                fault = e;
+            }
+        }
+    }
+
+    private void signal(String name) throws IOException {
+        StringBuilder text = new StringBuilder();
+        for (Daemon each : whom.get()) {
+            if (each.alive()) {
+                text.append(name).append(' ').append(each.pid()).append('\n');
+            }
+        }
+        signals.write(text.toString().getBytes(StandardCharsets.US_ASCII));
+        signals.flush();
+    }
+
+    /** Seconds of all cores that these processes used, with what those that ended had used. */
+    private double used() {
+        for (Daemon each : whom.get()) {
+            try {
+                seen.put(each.pid(), seconds(each.pid()));
+            } catch (IOException ended) {
+                continue;   // what it had used stands
+            }
+        }
+        return seen.values().stream().mapToDouble(Double::doubleValue).sum();
+    }
+
+    /** Seconds of all cores that a process used, by itself and in the system. */
+    static double seconds(long pid) throws IOException {
+        String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
+        String[] words = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        return (Long.parseLong(words[11]) + Long.parseLong(words[12])) * TICK;
+    }
+
+    @Override
+    public void close() throws IOException {
+        over = true;
+        try {
+            thread.join();
+            signals.close();
+            shell.waitFor();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        if (fault != null) {
+            throw fault;
+        }
+    }
+
+    /** Those of a box that are there. */
+    static List<Daemon> both(Daemon serves, Daemon comes) {
+        List<Daemon> all = new ArrayList<>();
+        if (serves != null) {
+            all.add(serves);
+        }
+        if (comes != null) {
+            all.add(comes);
+        }
+        return all;
+    }
+}
--- a/src/main/java/wharftrestle/lab/Scenario.java
+++ b/src/main/java/wharftrestle/lab/Scenario.java
@@ -28,8 +28,10 @@
     private static final class Box {
         private final String name;
         private final Floor floor;
-        private Daemon serves;
-        private Daemon comes;
+        private volatile Daemon serves;
+        private volatile Daemon comes;
+        private volatile Daemon ends;
+        private Holder holder;
         private Callers callers;
         private volatile long troubleAt = Long.MIN_VALUE / 2;
         private volatile boolean troubled;
@@ -39,6 +41,19 @@
             this.floor = floor;
         }
 
+        List<Daemon> processes() {
+            List<Daemon> all = Holder.both(serves, comes);
+            all.addAll(Holder.both(ends, null));
+            return all;
+        }
+
+        void free() throws IOException {
+            if (holder != null) {
+                holder.close();
+                holder = null;
+            }
+        }
+
         boolean excused() {
             return troubled || System.nanoTime() - troubleAt < TimeUnit.MILLISECONDS.toNanos(EXCUSE_MS);
         }
@@ -85,6 +100,7 @@
             return run(boxes);
         } finally {
             for (Box box : boxes) {
+                box.free();
                 box.floor.close();
             }
             Floor.delete(folder);
@@ -138,6 +154,7 @@
     private static void look(Box box) {
         if (box.comes != null && box.comes.ready()) {
             box.serves.term();
+            box.ends = box.serves;
             box.serves = box.comes;
             box.comes = null;
         }
@@ -147,7 +164,9 @@
         Link link = fault.path().isEmpty() ? null : box.floor.link(fault.path());
         boolean there = !fault.way().equals("back");
         boolean back = !fault.way().equals("there");
-        box.troubleAt = System.nanoTime();
+        if (fault.kind() != FaultScript.Kind.HOLD) {
+            box.troubleAt = System.nanoTime();
+        }
         switch (fault.kind()) {
             case CUT -> {
                 box.troubled = fault.path().equals("front");
@@ -187,6 +206,11 @@
                 box.troubleAt = System.nanoTime();
             }
             case CHANGE -> box.comes = begin(box);
+            case HOLD -> {
+                box.free();
+                box.holder = new Holder(box::processes, fault.value());
+            }
+            case FREE -> box.free();
             default -> throw new IllegalStateException("nothing does " + fault);
         }
     }
