Let both tests of the core alone use one silent worker pool

Need: the same stand-in stood in CoreTest and CoreRecordsTest. Change: SilentPool; CoreRecordsTest overrides the one word that it counts.

--- a/src/test/java/wharftrestle/CoreTest.java
+++ b/src/test/java/wharftrestle/CoreTest.java
@@ -60,24 +60,7 @@
             @Override
             public void timer(double now, long label, double[] gauges) { }
         }, counters);
-        core.open(new Core.Pool() {
-            @Override
-            public void spawn(String ref, String className, byte[] body) { }
-
-            @Override
-            public void suspend(String ref) { }
-
-            @Override
-            public void supply(String ref, byte[] reply) { }
-
-            @Override
-            public void pass(String ref, long notice) { }
-
-            @Override
-            public boolean poll() {
-                return false;
-            }
-        }, null, good -> { });
+        core.open(new SilentPool(), null, good -> { });
         core.bound(false, 0);
         return core;
     }
--- a/src/test/java/wharftrestle/durable/CoreRecordsTest.java
+++ b/src/test/java/wharftrestle/durable/CoreRecordsTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import wharftrestle.SilentPool;
 import wharftrestle.core.Core;
 import wharftrestle.core.Core.Answer;
 import wharftrestle.core.Records;
@@ -31,25 +32,11 @@
     CoreRecordsTest() throws Exception {
         core.record(journal);
         core.recovered(journal.open(20));
-        core.open(new Core.Pool() {
+        core.open(new SilentPool() {
             @Override
             public void spawn(String ref, String className, byte[] body) {
                 spawned.add(ref);
             }
-
-            @Override
-            public void suspend(String ref) { }
-
-            @Override
-            public void supply(String ref, byte[] reply) { }
-
-            @Override
-            public void pass(String ref, long notice) { }
-
-            @Override
-            public boolean poll() {
-                return false;
-            }
         }, null, good -> { });
         core.bound(false, 100);
     }
