--- a/src/main/java/wharftrestle/lab/Callers.java
+++ b/src/main/java/wharftrestle/lab/Callers.java
@@ -44,9 +44,9 @@
         }
     }
 
-    /** What was seen; the rules are broken where the first five are not 0. */
+    /** What was seen; the rules are broken where the first five are not 0. The slowest answer is in ms, from when it was asked. */
     public record Tally(int runTwice, int refusedAfterRun, int otherBytes, int lost, int unknown, int runTwiceHolderKilled,
-                        int lostExcused, int served, int again, int failed, int refused) {
+                        int lostExcused, int served, int again, int failed, int refused, long slowestMs) {
         /** True where no rule was broken. */
         public boolean holds() {
             return runTwice == 0 && refusedAfterRun == 0 && otherBytes == 0 && lost == 0 && unknown == 0;
@@ -56,8 +56,8 @@
         public String toString() {
             return String.format(Locale.ROOT, "%d run twice, %d refused after a run, %d other bytes, %d lost, %d unknown "
                     + "answers; where the only holder of keys was killed %d more run twice, by kills and cuts %d lost; "
-                    + "%d served, %d of them again, %d failed, %d refused", runTwice, refusedAfterRun, otherBytes, lost,
-                    unknown, runTwiceHolderKilled, lostExcused, served, again, failed, refused);
+                    + "%d served, %d of them again, %d failed, %d refused, the slowest after %d ms", runTwice, refusedAfterRun, otherBytes, lost,
+                    unknown, runTwiceHolderKilled, lostExcused, served, again, failed, refused, slowestMs);
         }
     }
 
@@ -76,6 +76,7 @@
     private final AtomicInteger unknown = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
     private final AtomicInteger lostExcused = new AtomicInteger();
+    private final AtomicLong slowest = new AtomicLong();
     private final AtomicLong references;
     private final AtomicReference<Throwable> fault = new AtomicReference<>();
     private volatile boolean over;
@@ -155,7 +156,7 @@
         }
         int afterRun = (int) refusals.stream().filter(each -> !forgottenBetween(each.begun(), each.at())).count();
         return new Tally(twice, afterRun, otherBytes.get(), lost.get(), unknown.get(), twiceHolderKilled, lostExcused.get(),
-                served.get(), again.get(), failed.get(), refused.get());
+                served.get(), again.get(), failed.get(), refused.get(), TimeUnit.NANOSECONDS.toMillis(slowest.get()));
     }
 
     private void sit(Random random) {
@@ -174,7 +175,10 @@
                     desk = null;
                 }
                 desk = desk != null ? desk : new Desk(to);
-                judge(key, desk.ask("save", references.incrementAndGet(), key.name, key.body));
+                long asked = System.nanoTime();
+                Desk.Reply reply = desk.ask("save", references.incrementAndGet(), key.name, key.body);
+                slowest.accumulateAndGet(System.nanoTime() - asked, Math::max);
+                judge(key, reply);
                 LockSupport.parkNanos(random.nextInt(THINK) * 1_000_000L);
             } catch (IOException ended) {
                 (excused.getAsBoolean() ? lostExcused : lost).incrementAndGet();
