--- a/src/main/java/wharftrestle/lab/Callers.java
+++ b/src/main/java/wharftrestle/lab/Callers.java
@@ -57,7 +57,8 @@
             return String.format(Locale.ROOT, "%d run twice, %d refused after a run, %d other bytes, %d lost, %d unknown "
                     + "answers; where the only holder of keys was killed %d more run twice, by kills and cuts %d lost; "
                     + "%d served, %d of them again, %d failed, %d refused, the slowest after %d ms",
-                    runTwice, refusedAfterRun, otherBytes, lost, unknown, runTwiceHolderKilled, lostExcused, served, again, failed, refused, slowestMs);
+                    runTwice, refusedAfterRun, otherBytes, lost, unknown, runTwiceHolderKilled, lostExcused, served, again,
+                    failed, refused, slowestMs);
         }
     }
 
