Let keys whose window is over go while a new process is told the others

Checked: the new process runs next to nothing then and fails at once, not at the due time (slowest answer 0.7 to 2.6 s); its own log says nothing. Cause: keys are let go where a request comes in (Core.sweepKeys). The process that takes over has none before it listens, 0.5 to 0.9 s at half a core, so what expires meanwhile kept its room, and where the next key told found none, Between.heard turned blind: no key that is not known may run for a window. Ruled out: a smaller room (same settings), results on disk (off), a lost word (the counts told agree). Lines: Between.heard(Over).

Change: expire before each key that is told; Partner logs where one finds no room all the same.

--- a/src/main/java/wharftrestle/core/Partner.java
+++ b/src/main/java/wharftrestle/core/Partner.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.tinylog.Logger;
 import wharftrestle.handover.Between;
 import wharftrestle.handover.Other;
 import wharftrestle.handover.Other.Kept;
@@ -22,6 +23,7 @@
     private final Between<Task> between;
     private final Set<Task> asking = new HashSet<>();
     private Recorder recorder;
+    private double roomlessUntil = Double.NEGATIVE_INFINITY;
 
     Partner(Core core, KeyTable<Task> keys) {
         this.core = core;
@@ -185,12 +187,21 @@
     // ---- What the other process says ----
 
     public void heard(Over over) {
+        boolean first = false;
         core.lock();
         try {
-            between.heard(over, core.now());
+            double now = core.now();
+            if (!between.heard(over, now)) {
+                first = now > roomlessUntil;
+                roomlessUntil = Math.max(roomlessUntil, now + over.secondsLeft());
+            }
         } finally {
             core.unlock();
         }
+        if (first) {
+            Logger.warn("there is no room for all keys of the other process: unknown ones fail for up to {} s",
+                    Math.round(over.secondsLeft()));
+        }
     }
 
     public void heard(Kept kept) {
--- a/src/main/java/wharftrestle/handover/Between.java
+++ b/src/main/java/wharftrestle/handover/Between.java
@@ -158,13 +158,18 @@
 
     // ---- What the other process says ----
 
-    public void heard(Over over, double now) {
+    /** False where there is no room to know it: then no key that is not known runs until its window is over. */
+    public boolean heard(Over over, double now) {
+        // Guards against keys whose window is over taking the room: no request comes here yet that would have them go.
+        keys.expire(now);
         double until = now + over.secondsLeft() + stretch;
         if (!keys.hear(new KeyTable.Settled(over.key().high(), over.key().low(), stretched(over.lastDoor()), over.check(),
                 until, over.result()))) {
             // Guards against a second run of a key that there is no room to know: less memory than the other had.
             keys.blind(until);
+            return false;
         }
+        return true;
     }
 
     /** The other process has this key in hand, or had. */
