Have the rig's worker pool run a request once, however often its spawn is sent

Cause: a daemon sends a spawn again on its new link where no notice has followed it, and the protocol has nothing happen for a request that runs already. The stand-in ran it again, and dropped the notices of a link that had ended, so the checker blamed the daemon for the stand-in's own second run. Lines: WorkerPool.run and WorkerPool.finish.

Change: the last 4,000 runs are known by reference and body; one that runs goes on and ends over the link that asked last, one that is over is told again. A run of a key under another reference counts as before: no checker is loosened.

Test: LabTest, a spawn asked for three times over two links.

--- a/src/main/java/wharftrestle/lab/WorkerPool.java
+++ b/src/main/java/wharftrestle/lab/WorkerPool.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -34,6 +35,21 @@
         void finished();
     }
 
+    /** One run, guarded by the lock of all: how it ended, and the link that asked for it last. */
+    private static final class Spawned {
+        private final String body;
+        private Socket socket;
+        private AtomicInteger notices;
+        private byte[] end;   // null while it runs
+
+        Spawned(String body) {
+            this.body = body;
+        }
+    }
+
+    /** Runs whose end can be told again, as the protocol has it of notices. */
+    private static final int MOST_KEPT = 4000;
+
     private final ServerSocket server;
     private final ScheduledExecutorService cores = Executors.newScheduledThreadPool(4, task -> {
         Thread thread = new Thread(task, "stand-in core");
@@ -41,6 +57,14 @@
         return thread;
     });
     private final Map<String, List<Long>> runs = new ConcurrentHashMap<>();
+    private final Map<String, Spawned> spawned = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Spawned> eldest) {
+            return size() > MOST_KEPT;
+        }
+    };
     private final List<Socket> links = new CopyOnWriteArrayList<>();
     private final Random random;
     private final int longestRun;
@@ -131,6 +155,20 @@
     }
 
     private void run(Socket socket, AtomicInteger notices, String ref, String body) {
+        Spawned asked;
+        boolean again;
+        synchronized (spawned) {
+            Spawned known = spawned.get(ref);
+            again = known != null && known.body.equals(body);
+            asked = again ? known : new Spawned(body);
+            asked.socket = socket;
+            asked.notices = notices;
+            spawned.put(ref, asked);
+        }
+        if (again) {
+            tell(asked);   // its link broke: what runs goes on, and what is over is told
+            return;
+        }
         String name = body.substring(0, body.indexOf('\n') < 0 ? body.length() : body.indexOf('\n'));
         List<Long> mine = runs.computeIfAbsent(name, key -> new ArrayList<>());
         int run;
@@ -147,18 +185,35 @@
             random.nextBytes(result);
         }
         byte[] whole = Bytes.join(Bytes.ascii(name + " run " + run + "\r\n"), result);
-        cores.schedule(() -> finish(socket, notices, ref, took, whole), took, TimeUnit.MILLISECONDS);
+        cores.schedule(() -> {
+            synchronized (spawned) {
+                asked.end = Bytes.join(Bytes.ascii(ref + " good " + took + " " + whole.length + "\r\n"), whole,
+                        Bytes.ascii("\r\n"));
+            }
+            tell(asked);
+        }, took, TimeUnit.MILLISECONDS);
     }
 
-    private void finish(Socket socket, AtomicInteger notices, String ref, int took, byte[] result) {
+    /** Says how a run ended over the link that asked for it last; nothing while it runs. */
+    private void tell(Spawned run) {
+        Socket socket;
+        AtomicInteger notices;
+        byte[] end;
+        synchronized (spawned) {
+            socket = run.socket;
+            notices = run.notices;
+            end = run.end;
+        }
+        if (end == null) {
+            return;
+        }
         try {
             synchronized (notices) {
-                write(socket, Bytes.join(Bytes.ascii("finished " + notices.incrementAndGet() + " " + ref + " good " + took
-                        + " " + result.length + "\r\n"), result, Bytes.ascii("\r\n")));
+                write(socket, Bytes.join(Bytes.ascii("finished " + notices.incrementAndGet() + " "), end));
             }
             moment(false);
         } catch (IOException gone) {
-            return;   // nobody hears of it any more
+            return;   // it is told once it is asked for again
         }
     }
 
--- a/src/test/java/wharftrestle/lab/LabTest.java
+++ b/src/test/java/wharftrestle/lab/LabTest.java
@@ -331,6 +331,30 @@
         assertTrue(play(Mutant.SAYS_WHAT_NOBODY_KNOWS).unknown() > 0);
     }
 
+    @Test
+    void theStandInPoolRunsARequestOnceHoweverOftenItIsAskedFor() throws Exception {
+        byte[] spawn = Bytes.ascii("spawn 0000000000000001 save 4\r\nnote\r\n");
+        try (WorkerPool pool = new WorkerPool(null, new Random(3), 50, 20)) {
+            String first;
+            try (Socket link = new Socket(HOST, pool.address().getPort())) {
+                link.setSoTimeout(5000);
+                InputStream in = new BufferedInputStream(link.getInputStream());
+                link.getOutputStream().write(Bytes.join(Bytes.ascii("bind 0\r\n"), spawn, spawn));
+                assertEquals("bound old 60000", Bytes.line(in, 100));
+                first = Bytes.line(in, 100);
+                assertTrue(first.startsWith("finished 1 0000000000000001 good "), first);
+            }
+            try (Socket link = new Socket(HOST, pool.address().getPort())) {
+                link.setSoTimeout(5000);
+                InputStream in = new BufferedInputStream(link.getInputStream());
+                link.getOutputStream().write(Bytes.join(Bytes.ascii("bind 7\r\n"), spawn));
+                assertEquals("bound old 60000", Bytes.line(in, 100));
+                assertEquals(first.replace("finished 1 ", "finished 8 "), Bytes.line(in, 100), "its end, told again");
+            }
+            assertEquals(1, pool.begun("note").size());
+        }
+    }
+
     // ---- A play ----
 
     @Test
