--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -255,7 +255,7 @@
                     boolean keyed = each.repeat() == Admission.Repeat.KEYED;
                     return new Terms.Kind(each.name(), keyed, keyed ? Math.round(each.window() * 1000) : 0);
                 }).toList(), config.settings().tenants().stream().map(Admission.Tenant::name).toList(),
-                new Terms.Room(0, 0, 0, 0));
+                new Terms.Room(0, 0, 0, 0), 0);
     }
 
     private Server[] fronts() {
--- a/src/main/java/wharftrestle/Rehearsal.java
+++ b/src/main/java/wharftrestle/Rehearsal.java
@@ -9,9 +9,10 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.Map;
-import wharftrestle.policy.Admission.Outcome;
+import wharftrestle.clock.Wall;
 import wharftrestle.net.Bytes;
 import wharftrestle.net.Config;
+import wharftrestle.policy.Admission.Outcome;
 
 /**
  * One request from end to end in a daemon without a worker pool, whose words are spoken for it here. The build
@@ -47,7 +48,7 @@
 
     private static void ask(Lifecycle life, Socket caller, int tag) throws IOException {
         String ref = String.format("%016x", tag);
-        String fields = "txn=" + ref + ",door=" + System.currentTimeMillis() + ",lb=1,team=one,ram=24.5,standing=0.5"
+        String fields = "txn=" + ref + ",door=" + Wall.now() + ",lb=1,team=one,ram=24.5,standing=0.5"
                 + (tag % 2 == 0 ? ",unique=k" + tag : "");
         StringBuilder text = new StringBuilder("*5\r\n");
         for (String word : new String[] {"ASK", "" + tag, tag % 2 == 0 ? "save" : "read", fields, "x"}) {
--- a/src/main/java/wharftrestle/Succession.java
+++ b/src/main/java/wharftrestle/Succession.java
@@ -4,16 +4,17 @@
 import java.nio.file.Path;
 import java.util.concurrent.locks.LockSupport;
 import org.tinylog.Logger;
+import wharftrestle.clock.Wall;
 import wharftrestle.core.Core;
 import wharftrestle.core.Partner;
 import wharftrestle.handover.Agreement;
-import wharftrestle.handover.HandOver;
 import wharftrestle.handover.HandOver.Act;
 import wharftrestle.handover.HandOver.Event;
 import wharftrestle.handover.HandOver.State;
+import wharftrestle.handover.HandOver;
 import wharftrestle.handover.Terms;
-import wharftrestle.net.BoxLink;
 import wharftrestle.net.BoxLink.Word;
+import wharftrestle.net.BoxLink;
 import wharftrestle.net.Bytes;
 import wharftrestle.net.Seat;
 import wharftrestle.version.Build;
@@ -121,11 +122,6 @@
         return steps.state() == State.REFUSED ? reason : "";
     }
 
-    /** True while another process has the clients of this box. */
-    synchronized boolean ceded() {
-        return steps.state() == State.CEDED || steps.state() == State.GIVEN;
-    }
-
     /** True where this process leaves, and what it knows is known nowhere else: a further one can still be told. */
     synchronized boolean lastHolder() {
         return lostHeir && steps.state() != State.CEDED;
@@ -255,6 +251,9 @@
             Terms mine = terms();
             String against = comes ? agreement.against(theirs, mine) : agreement.against(mine, theirs);
             if (against == null && comes) {
+                if (theirs.scale() != 0) {
+                    Wall.adopt(theirs.scale());   // stamps of keys are compared with those of requests read here
+                }
                 partner.join(link, Agreement.stretch(theirs, mine));
             }
             reason = against == null ? "" : against;
@@ -267,7 +266,8 @@
 
     private Terms terms() {
         Terms own = box.terms();
-        return new Terms(own.build(), own.speaks(), own.log(), own.folder(), own.classes(), own.tenants(), partner.room());
+        return new Terms(own.build(), own.speaks(), own.log(), own.folder(), own.classes(), own.tenants(), partner.room(),
+                Wall.base());
     }
 
     // ---- What is done ----
@@ -312,11 +312,7 @@
                 seat.share();   // before the keys can come: they may arrive after their owner's death
                 link.say(Word.TAKEN, "");
             }
-            case GIVE -> {
-                box.halve(true);
-                given = partner.handOver(link);
-                box.closeRecords();   // only the owner of the keys writes, and it reads what is on disk by now
-            }
+            case GIVE -> given = give(link);
             case SAY_YOURS -> link.sayYours(given);
             case HAND_AS_FORMER -> handAsFormer(link);
             case PARK -> Logger.warn("{}: an older build asks to take over; it can start once this process has ended", name);
@@ -389,10 +385,15 @@
         }).start();
     }
 
-    private void handAsFormer(BoxLink to) {
+    private int give(BoxLink to) {
         box.halve(true);
-        int handed = partner.handOver(to);
-        box.closeRecords();
+        int open = partner.handOver(to);
+        box.closeRecords();   // only the owner of the keys writes, and it reads what is on disk by now
+        return open;
+    }
+
+    private void handAsFormer(BoxLink to) {
+        int handed = give(to);
         // Not under this lock, which its end needs: a build of format 1 that stalls is waited for, as it owns all by now.
         Core.thread("box-tell", () -> to.sayHanded(handed + Math.max(0, partner.tellSettledAfter(to)))).start();
     }
--- a/src/main/java/wharftrestle/box/BoxKeeper.java
+++ b/src/main/java/wharftrestle/box/BoxKeeper.java
@@ -8,7 +8,6 @@
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.StandardProtocolFamily;
 import java.net.UnixDomainSocketAddress;
@@ -35,6 +34,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.tinylog.Logger;
+import wharftrestle.clock.Wall;
+import wharftrestle.net.Address;
 
 /**
  * Carries out what {@link Keeper} decides: it starts, watches and ends the daemons of one box, keeps the journal, and
@@ -184,7 +185,7 @@
         String door = "EDGE_CONSOLE=127.0.0.1:" + last.door();
         for (ProcessHandle each : ProcessHandle.allProcesses().toList()) {
             if (environment(each).contains(door)) {
-                journal.add(new StepLog.Entry(System.currentTimeMillis(), "started", last.role(), last.release(),
+                journal.add(new StepLog.Entry(Wall.now(), "started", last.role(), last.release(),
                         last.good(), each.pid(), began(each), last.door(), "found by its door"));
             }
         }
@@ -430,8 +431,8 @@
         if (Files.exists(settings)) {
             command.addAll(List.of("--appliance", settings.toString()));
         }
-        int door = freePort();
-        Path log = places.state().resolve("daemon-" + System.currentTimeMillis() + "-" + ++logs + ".log");
+        int door = Address.freePort();
+        Path log = places.state().resolve("daemon-" + Wall.now() + "-" + ++logs + ".log");
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
                 .redirectInput(ProcessBuilder.Redirect.from(Path.of("/dev/null").toFile()))
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
@@ -445,15 +446,9 @@
         say("started", act.role(), act.release(), handle.pid(), began(handle), door, act.why());
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return probe.getLocalPort();
-        }
-    }
-
     private void say(String what, Keeper.Role role, String release, long pid, long began, int door, String why)
             throws IOException {
-        StepLog.Entry entry = new StepLog.Entry(System.currentTimeMillis(), what, role.name(), release, keeper.good(), pid,
+        StepLog.Entry entry = new StepLog.Entry(Wall.now(), what, role.name(), release, keeper.good(), pid,
                 began, door, why);
         before.accept(entry);
         try {
--- a/src/main/java/wharftrestle/core/Core.java
+++ b/src/main/java/wharftrestle/core/Core.java
@@ -12,15 +12,16 @@
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 import org.tinylog.Logger;
-import wharftrestle.policy.Admission;
-import wharftrestle.policy.Admission.Outcome;
+import wharftrestle.clock.Wall;
 import wharftrestle.keys.KeyRoom;
 import wharftrestle.keys.KeyState;
 import wharftrestle.keys.KeyTable;
-import wharftrestle.ops.Counters;
 import wharftrestle.ops.Counters.Count;
 import wharftrestle.ops.Counters.Result;
+import wharftrestle.ops.Counters;
 import wharftrestle.ops.ResultFigure;
+import wharftrestle.policy.Admission.Outcome;
+import wharftrestle.policy.Admission;
 
 /**
  * Owns the requests in hand, the keys with their results, and the one lock that guards the decision module; {@link
@@ -33,7 +34,7 @@
 public final class Core implements Admission.Actions {
 
     /**
-     * One try as a front read it; {@code door} is Unix time in ms, {@code key} is null where there is none.
+     * One try as a front read it; {@code door} is ms on {@link Wall}'s even scale, {@code key} is null where there is none.
      *
      * @param further its sender marked it as a further try, or a second copy
      * @param cost    seconds of work on one core to expect, rough; 0 where not told
@@ -493,7 +494,7 @@
     }
 
     private static double lay(Arrival a) {
-        return Math.max(0, (System.currentTimeMillis() - a.door()) / 1000.0);
+        return Math.max(0, (Wall.even() - a.door()) / 1000.0);
     }
 
     double due(Arrival a, double now) {
--- a/src/main/java/wharftrestle/durable/Compaction.java
+++ b/src/main/java/wharftrestle/durable/Compaction.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import wharftrestle.clock.Wall;
 
 /**
  * Writes what still matters of a closed log into as few files as hold it. It owns the order of steps, after each of
@@ -33,7 +34,7 @@
         long boot = disk.boot();
         long[] files = disk.files();
         Map<String, Kept> last = new LinkedHashMap<>();
-        Recovery recovery = new Recovery(System.currentTimeMillis(), steady);
+        Recovery recovery = new Recovery(Wall.even(), steady);
         for (long file : files) {
             ByteBuffer bytes = disk.read(file);
             boolean same = sameBoot(bytes, boot);
@@ -63,7 +64,7 @@
         long number = files.length == 0 ? 0 : files[files.length - 1];
         List<Long> made = new ArrayList<>();
         ByteBuffer out = null;
-        long wall = System.currentTimeMillis();
+        long wall = Wall.now();
         for (int i = 0; i < order.size(); i++) {
             Kept kept = order.get(i).getValue();
             if (out == null || out.remaining() < kept.size()) {
--- a/src/main/java/wharftrestle/durable/Journal.java
+++ b/src/main/java/wharftrestle/durable/Journal.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicLongArray;
 import org.HdrHistogram.Histogram;
 import org.tinylog.Logger;
+import wharftrestle.clock.Wall;
 import wharftrestle.core.Core;
 import wharftrestle.core.Records;
 import wharftrestle.net.Config;
@@ -149,7 +150,7 @@
     }
 
     private Records.Recovered recover(Disk opened, double longest) throws IOException {
-        Recovery recovery = new Recovery(System.currentTimeMillis(), steady());
+        Recovery recovery = new Recovery(Wall.even(), steady());
         long boot = opened.boot();
         double now = seconds();
         boolean hurt = false;
@@ -424,7 +425,7 @@
     /** Writes one batch and syncs it; a ticket has its place only when it is on disk. */
     private void put(List<Ticket> all) throws IOException {
         batch++;
-        long wall = System.currentTimeMillis();
+        long wall = Wall.now();
         long steady = steady();
         long[] places = new long[all.size()];
         int from = -1;
--- a/src/main/java/wharftrestle/durable/Recovery.java
+++ b/src/main/java/wharftrestle/durable/Recovery.java
@@ -34,7 +34,7 @@
     private final long steadyNow;
     private int over;
 
-    /** @param wallNow Unix ms; steadyNow ms on the machine's steady clock */
+    /** @param wallNow ms on the scale of stamps; steadyNow ms on the machine's steady clock */
     public Recovery(long wallNow, long steadyNow) {
         this.wallNow = wallNow;
         this.steadyNow = steadyNow;
--- a/src/main/java/wharftrestle/durable/ResultsFolder.java
+++ b/src/main/java/wharftrestle/durable/ResultsFolder.java
@@ -17,6 +17,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import wharftrestle.clock.Wall;
 
 /**
  * What operators see and do of a folder of kept results while no daemon has it: list, show, verify, compact, export.
@@ -46,7 +47,7 @@
         Map<String, Line> all = new TreeMap<>();
         long boot = disk.boot();
         long steady = System.nanoTime() / 1_000_000;
-        Recovery recovery = new Recovery(System.currentTimeMillis(), steady);
+        Recovery recovery = new Recovery(Wall.even(), steady);
         for (long file : disk.files()) {
             ByteBuffer bytes = disk.read(file);
             boolean same = Compaction.sameBoot(bytes, boot);
--- a/src/main/java/wharftrestle/front/Resp.java
+++ b/src/main/java/wharftrestle/front/Resp.java
@@ -11,13 +11,14 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.LockSupport;
 import java.util.regex.Pattern;
-import wharftrestle.policy.Admission;
+import wharftrestle.clock.Wall;
 import wharftrestle.core.Core;
 import wharftrestle.net.Bytes;
-import wharftrestle.net.Server;
 import wharftrestle.net.Server.MalformedException;
-import wharftrestle.ops.Counters;
+import wharftrestle.net.Server;
 import wharftrestle.ops.Counters.Count;
+import wharftrestle.ops.Counters;
+import wharftrestle.policy.Admission;
 
 /**
  * The platform's front: RESP arrays of bulk strings, parsed and written here. It owns the tags open on a
@@ -212,13 +213,13 @@
         } catch (IOException e) {
             throw new InvalidException(e.getMessage());
         }
-        long now = System.currentTimeMillis();
+        long now = Wall.now();
         if (ram <= 0 || ram >= MOST_RAM || standing < 0 || standing >= 1 || cpu < 0 || cpu > MOST_CPU_MS
                 || door > now + EARLY_MS || door < now - STALE_MS) {
             throw new InvalidException("a figure out of range");
         }
         return new Core.Arrival(ref, second > 0, type, tenant, ram, (int) caller, standing, cpu / 1000, key, item,
-                Math.min(door, now), words.length > 4 ? words[4] : new byte[0]);
+                Wall.even(door), words.length > 4 ? words[4] : new byte[0]);
     }
 
     private record Answering(Server.Connection connection, Map<String, Object> open, String tag)
--- a/src/main/java/wharftrestle/front/Uwsgi.java
+++ b/src/main/java/wharftrestle/front/Uwsgi.java
@@ -9,13 +9,14 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
-import wharftrestle.policy.Admission;
+import wharftrestle.clock.Wall;
 import wharftrestle.core.Core;
 import wharftrestle.net.Bytes;
-import wharftrestle.net.Server;
 import wharftrestle.net.Server.MalformedException;
-import wharftrestle.ops.Counters;
+import wharftrestle.net.Server;
 import wharftrestle.ops.Counters.Count;
+import wharftrestle.ops.Counters;
+import wharftrestle.policy.Admission;
 
 /**
  * The uwsgi front: one request a connection, a packet of variables and a body in, an HTTP response out. It
@@ -171,7 +172,7 @@
                     + LONGEST_KEY + " characters");
         }
         return new Core.Arrival(String.format("%016x", references.addAndGet(0x9E3779B97F4A7C15L)), false, type, tenant,
-                heldKb, -1, ranks[type], 0, keyed ? key : null, null, System.currentTimeMillis(), body);
+                heldKb, -1, ranks[type], 0, keyed ? key : null, null, Wall.even(), body);
     }
 
     private static Map<String, String> vars(byte[] block) throws MalformedException {
--- a/src/main/java/wharftrestle/handover/Terms.java
+++ b/src/main/java/wharftrestle/handover/Terms.java
@@ -17,9 +17,10 @@
  * @param classes  by place
  * @param tenants  names by place
  * @param room     what it knows, or can
+ * @param scale    where its scale of stamps begins, ms; 0 where it does not say, as builds before this line do not
  */
 public record Terms(String build, Range speaks, Range log, String folder, List<Kind> classes, List<String> tenants,
-                    Room room) {
+                    Room room, long scale) {
 
     /** One class of requests: {@code window} in ms, 0 where it has no keys. */
     public record Kind(String name, boolean keyed, long window) { }
@@ -59,6 +60,7 @@
         }
         tenants.forEach(name -> line(text, "tenant", name));
         line(text, "room", room.keys() + " " + room.mostKeys() + " " + room.bytes() + " " + room.mostBytes());
+        line(text, "scale", Long.toString(scale));
         return text.toString();
     }
 
@@ -107,7 +109,8 @@
             }
             return new Terms(need(once, "build"), Range.of(need(once, "speaks")), Range.of(need(once, "log")),
                     need(once, "folder"), List.copyOf(classes), List.copyOf(tenants),
-                    new Room(room[0], room[1], room[2], room[3]));
+                    new Room(room[0], room[1], room[2], room[3]),
+                    Long.parseLong(once.getOrDefault("scale", "0")));
         } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
             throw new UnreadableException("terms cannot be read: " + e.getMessage());
         }
--- a/src/main/java/wharftrestle/lab/Callers.java
+++ b/src/main/java/wharftrestle/lab/Callers.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -15,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 
 /**
  * Stand-in front ends that ask keyed requests and repeat them, and the checker of what they are told: lost, given other
@@ -22,10 +22,21 @@
  * against what a daemon says of itself.
  */
 public final class Callers {
-    /** Part of requests that repeat a key. */
-    private static final double AGAIN = 0.4;
-    /** Milliseconds that a caller waits between two requests, at most. */
-    private static final int THINK = 30;
+    /**
+     * How callers ask.
+     *
+     * @param many    callers
+     * @param keyMs   for which a key is repeated; inside its window
+     * @param again   part of requests that repeat a key, besides those whose answer was lost, which are asked again at once
+     * @param thinkMs that a caller waits between two requests, at most
+     */
+    public record Habit(int many, long keyMs, double again, int thinkMs) {
+        /** Four in ten repeat a key. */
+        public static Habit of(int many, long keyMs) {
+            return new Habit(many, keyMs, 0.4, 30);
+        }
+    }
+
     /** Milliseconds of clocks' and threads' error between a kill and what was seen of it. */
     private static final long BLUR_MS = 50;
 
@@ -44,9 +55,13 @@
         }
     }
 
-    /** What was seen; the rules are broken where the first five are not 0. The slowest answer took so many ms. */
+    /**
+     * What was seen; the rules are broken where the first five are not 0. Failed after a result are keys that had theirs
+     * once. The slowest answer took so many ms.
+     */
     public record Tally(int runTwice, int refusedAfterRun, int otherBytes, int lost, int unknown, int runTwiceHolderKilled,
-                        int lostExcused, int served, int again, int failed, int refused, long slowestMs) {
+                        int lostExcused, int served, int repeats, int again, int failed,
+                        int failedAfterResult, int refused, long slowestMs) {
         /** True where no rule was broken. */
         public boolean holds() {
             return runTwice == 0 && refusedAfterRun == 0 && otherBytes == 0 && lost == 0 && unknown == 0;
@@ -56,21 +71,24 @@
         public String toString() {
             return String.format(Locale.ROOT, "%d run twice, %d refused after a run, %d other bytes, %d lost, %d unknown "
                     + "answers; where the only holder of keys was killed %d more run twice, by kills and cuts %d lost; "
-                    + "%d served, %d of them again, %d failed, %d refused, the slowest after %d ms",
+                    + "%d served, %d of them again, %d failed, %d refused, the slowest after %d ms; %d repeats",
                     runTwice, refusedAfterRun, otherBytes, lost, unknown, runTwiceHolderKilled, lostExcused, served, again,
-                    failed, refused, slowestMs);
+                    failed, refused, slowestMs, repeats);
         }
     }
 
     private final InetSocketAddress to;
     private final WorkerPool pool;
     private final BooleanSupplier excused;
-    private final long keyMs;
+    private final LongSupplier clock;
+    private final Habit habit;
     private final List<Thread> desks = new ArrayList<>();
     private final List<Refusal> refusals = new CopyOnWriteArrayList<>();
     private final List<Long> forgotten = new CopyOnWriteArrayList<>();
     private final AtomicInteger served = new AtomicInteger();
     private final AtomicInteger again = new AtomicInteger();
+    private final AtomicInteger repeats = new AtomicInteger();
+    private final AtomicInteger failedAfterResult = new AtomicInteger();
     private final AtomicInteger failed = new AtomicInteger();
     private final AtomicInteger refused = new AtomicInteger();
     private final AtomicInteger otherBytes = new AtomicInteger();
@@ -84,16 +102,21 @@
 
     /**
      * @param excused true while a connection may end without its answer, as something was killed or cut
-     * @param keyMs   for which a key is repeated; inside its window
      */
-    public Callers(InetSocketAddress to, WorkerPool pool, int many, long keyMs, long seed, BooleanSupplier excused) {
+    public Callers(Floor floor, Habit habit, long seed, BooleanSupplier excused) {
+        this(floor.address(), floor.pool(), floor.clock()::millis, habit, seed, excused);
+    }
+
+    /** The same for any address, worker pool and clock of a machine, Unix ms. */
+    Callers(InetSocketAddress to, WorkerPool pool, LongSupplier clock, Habit habit, long seed, BooleanSupplier excused) {
         this.to = to;
         this.pool = pool;
-        this.keyMs = keyMs;
+        this.clock = clock;
+        this.habit = habit;
         this.excused = excused;
         Random random = new Random(seed);
         references = new AtomicLong(1 + (seed & 0xffff) << 32);
-        for (int i = 0; i < many; i++) {
+        for (int i = 0; i < habit.many(); i++) {
             long mine = random.nextLong();
             Thread desk = new Thread(() -> {
                 try {
@@ -121,6 +144,11 @@
         return refused.get();
     }
 
+    /** Requests that repeated a key, and were answered, up to now. */
+    public int repeats() {
+        return repeats.get();
+    }
+
     /** Answers that were results up to now. */
     public int served() {
         return served.get();
@@ -157,30 +185,36 @@
         }
         int afterRun = (int) refusals.stream().filter(each -> !forgottenBetween(each.begun(), each.at())).count();
         return new Tally(twice, afterRun, otherBytes.get(), lost.get(), unknown.get(), twiceHolderKilled, lostExcused.get(),
-                served.get(), again.get(), failed.get(), refused.get(), TimeUnit.NANOSECONDS.toMillis(slowest.get()));
+                served.get(), repeats.get(), again.get(), failed.get(), failedAfterResult.get(), refused.get(),
+                TimeUnit.NANOSECONDS.toMillis(slowest.get()));
     }
 
     private void sit(Random random) {
         List<Key> keys = new ArrayList<>();
         Desk desk = null;
+        Key lostKey = null;   // asked and not answered: the first thing to ask again
         while (!over) {
-            keys.removeIf(key -> System.currentTimeMillis() - key.since > keyMs);
-            boolean repeats = !keys.isEmpty() && random.nextDouble() < AGAIN;
-            if (!repeats) {
+            keys.removeIf(key -> System.currentTimeMillis() - key.since > habit.keyMs());
+            boolean repeat = lostKey != null || !keys.isEmpty() && random.nextDouble() < habit.again();
+            if (!repeat) {
                 keys.add(new Key(Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong())));
             }
-            Key key = repeats ? keys.get(random.nextInt(keys.size())) : keys.get(keys.size() - 1);
+            Key key = lostKey != null ? lostKey
+                    : repeat ? keys.get(random.nextInt(keys.size())) : keys.get(keys.size() - 1);
+            lostKey = key;
             try {
                 if (desk != null && desk.closing()) {
                     desk.close();
                     desk = null;
                 }
-                desk = desk != null ? desk : new Desk(to);
+                desk = desk != null ? desk : new Desk(to, clock);
                 long asked = System.nanoTime();
-                Desk.Reply reply = desk.ask("save", references.incrementAndGet(), key.name, key.body);
+                RespPeer.Reply reply = desk.ask("save", references.incrementAndGet(), key.name, key.body);
                 slowest.accumulateAndGet(System.nanoTime() - asked, Math::max);
+                lostKey = null;
+                repeats.addAndGet(repeat ? 1 : 0);
                 judge(key, reply);
-                LockSupport.parkNanos(random.nextInt(THINK) * 1_000_000L);
+                LockSupport.parkNanos(random.nextInt(habit.thinkMs()) * 1_000_000L);
             } catch (IOException ended) {
                 (excused.getAsBoolean() ? lostExcused : lost).incrementAndGet();
                 try {
@@ -203,7 +237,7 @@
         }
     }
 
-    private void judge(Key key, Desk.Reply reply) {
+    private void judge(Key key, RespPeer.Reply reply) {
         List<Long> begun = pool.begun(key.body);
         switch (reply.word()) {
             case "done" -> {
@@ -211,12 +245,12 @@
                 if (key.result != null) {
                     again.incrementAndGet();
                 }
-                boolean own = new String(reply.body(), StandardCharsets.ISO_8859_1).startsWith(key.body + " run ");
+                boolean own = reply.body().startsWith(key.body + " run ");
                 // Where it ran again, which is counted, the bytes are others.
-                if (!own || key.result != null && !Arrays.equals(key.result, reply.body()) && begun.size() < 2) {
+                if (!own || key.result != null && !Arrays.equals(key.result, reply.bytes()) && begun.size() < 2) {
                     otherBytes.incrementAndGet();
                 }
-                key.result = reply.body();
+                key.result = reply.bytes();
             }
             case "later" -> {
                 refused.incrementAndGet();
@@ -224,7 +258,12 @@
                     refusals.add(new Refusal(key.body, begun.get(begun.size() - 1), System.nanoTime()));
                 }
             }
-            case "error" -> failed.incrementAndGet();
+            case "error" -> {
+                failed.incrementAndGet();
+                if (key.result != null) {
+                    failedAfterResult.incrementAndGet();
+                }
+            }
             default -> unknown.incrementAndGet();
         }
     }
--- a/src/main/java/wharftrestle/lab/Daemon.java
+++ b/src/main/java/wharftrestle/lab/Daemon.java
@@ -106,6 +106,13 @@
         new ProcessBuilder("kill", stopped ? "-STOP" : "-CONT", Long.toString(pid())).start().waitFor();
     }
 
+    /** Seconds of all cores that the process has used, by itself and in the system; in hundredths, as Linux counts them. */
+    public double cpuSeconds() throws IOException {
+        String stat = Files.readString(Path.of("/proc/" + pid() + "/stat"));
+        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / 100.0;
+    }
+
     /** Memory of the process, kB: VmHWM is the most that was resident, RssAnon what can only be its own. */
     public long memoryKb(String name) throws IOException {
         return Files.readAllLines(Path.of("/proc/" + pid() + "/status")).stream()
--- a/src/main/java/wharftrestle/lab/FaultScript.java
+++ b/src/main/java/wharftrestle/lab/FaultScript.java
@@ -36,14 +36,15 @@
     /** What can be done: to a path of a box, or to its process. */
     public enum Kind {
         CUT, HEAL, REFUSE, HALF_CLOSE, HOLE, DELAY, RATE, DROP, DOUBLE, REORDER, STOP, GO, KILL, START, CHANGE,
-        HOLD, FREE
+        HOLD, FREE, CLOCK
     }
 
     /**
      * One thing that goes wrong.
      *
      * @param path  "front", "pool", "store" or "names"; empty for the process itself
-     * @param value ms of a delay, kB a second of a rate, part of datagrams, cores that a box is held to
+     * @param value ms of a delay, kB a second of a rate, part of datagrams, cores that a box is held to, ms that a clock is
+     *              off
      * @param more  ms of jitter
      * @param way   "both", "there" (to the box on its front, from it on the others) or "back"
      */
@@ -68,6 +69,7 @@
             WORDS.put(word, List.of("box", "path", "part", "way"));
         }
         WORDS.put("hold", List.of("box", "cores"));
+        WORDS.put("clock", List.of("box", "ms"));
         for (String word : List.of("stop", "go", "kill", "start", "change", "free")) {
             WORDS.put(word, List.of("box"));
         }
@@ -153,6 +155,7 @@
                         case RATE -> number(call, "kb", Double.NaN, 0.1, 1e6);
                         case DROP, DOUBLE, REORDER -> number(call, "part", Double.NaN, 0, 1);
                         case HOLD -> number(call, "cores", Double.NaN, 0.05, 64);
+                        case CLOCK -> number(call, "ms", Double.NaN, -1e9, 1e9);
                         default -> 0;
                     }, kind == Kind.DELAY ? number(call, "jitter", 0, 0, 60_000) : 0,
                     text(call, "way", "both", "both|there|back"));
--- a/src/main/java/wharftrestle/lab/Floor.java
+++ b/src/main/java/wharftrestle/lab/Floor.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.stream.Stream;
+import wharftrestle.net.Address;
 
 /**
  * The floor of a proof: one box with its daemons as processes of their own, and stand-ins for what they talk to, which
@@ -92,6 +93,7 @@
     private final Play play;
     private final List<Daemon> all = new ArrayList<>();
     private final Map<String, Link> links = new HashMap<>();
+    private final OffClock clock;
     private int started;
     private int soleDoor;
     private Daemon daemon;
@@ -106,7 +108,8 @@
         this.folder = folder;
         this.play = play;
         random = new Random(seed);
-        listen = freePort();
+        clock = new OffClock(folder.resolve("clock"));
+        listen = Address.freePort();
         pool = new WorkerPool(null, random, LONGEST_RUN, play.longestResult());
         if (linked) {
             links.put("front", new Link(new InetSocketAddress(HOST, listen), seed));
@@ -115,7 +118,7 @@
             links.put("names", new Link((InetSocketAddress) naming.getLocalSocketAddress(), seed + 300));
         }
         version = new Version(null, play.main(), settings(), script);
-        soleDoor = freePort();
+        soleDoor = Address.freePort();
         Files.writeString(folder.resolve("config.json"), config(version.settings(), soleDoor));
     }
 
@@ -137,12 +140,6 @@
         old.close();
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket probe = new ServerSocket(0, 1, HOST)) {
-            return probe.getLocalPort();
-        }
-    }
-
     /** The stand-in worker pool. */
     public WorkerPool pool() {
         return pool;
@@ -161,6 +158,16 @@
         return links.get(path);
     }
 
+    /** The time of day of this floor's machine. */
+    OffClock clock() {
+        return clock;
+    }
+
+    /** The time of day of this floor's machine is off by so many ms from now on; processes of {@link #begin} have it. */
+    public void clockOff(long ms) {
+        clock.set(ms);
+    }
+
     /** Where this floor's files lie. */
     public Path folder() {
         return folder;
@@ -220,10 +227,11 @@
     /** Starts one more process of the same box; it takes over from the one that serves, and is not waited for. */
     public Daemon begin(Version next) throws IOException {
         int number = ++started;
-        int door = freePort();
+        int door = Address.freePort();
         String config = "config-" + number + ".json";
         Files.writeString(folder.resolve(config), config(next.settings(), door));
         List<String> command = new ArrayList<>(Daemon.command(next.jar(), next.main(), next.settings().memoryMb()));
+        command.add(1, clock.option());
         command.addAll(appliance(next.script(), "appliance-" + number + ".star"));
         Map<String, String> environment = environment(config);
         environment.put("TMPDIR", folder.toString());
@@ -296,5 +304,6 @@
         pool.close();
         idle.close();
         naming.close();
+        clock.close();
     }
 }
--- a/src/main/java/wharftrestle/lab/Holder.java
+++ b/src/main/java/wharftrestle/lab/Holder.java
@@ -4,9 +4,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -21,8 +18,7 @@
  * measured, and lets all go when it is closed. It must never leave a process stopped.
  */
 public final class Holder implements Closeable {
-    private static final double TICK = 0.01;   // seconds of the kernel's figures
-    private static final double TURN = 0.1;    // the usual one; shorter ones could not be told apart by those figures
+    private static final double TURN = 0.1;    // seconds, as is usual; the kernel's figures come in hundredths
     private static final long LOOK_NANOS = 1_000_000;
 
     private final Supplier<List<Daemon>> whom;
@@ -64,10 +60,10 @@
                 boolean next = share.runs((System.nanoTime() - began) / 1e9, used());
                 if (next != run) {
                     run = next;
-                    stops += run ? 0 : 1;
                     if (run) {
                         goOn();
                     } else {
+                        stops++;
                         stop();
                     }
                 }
@@ -110,7 +106,7 @@
     private double used() {
         for (Daemon each : whom.get()) {
             try {
-                seen.put(each.pid(), seconds(each.pid()));
+                seen.put(each.pid(), each.cpuSeconds());
             } catch (IOException ended) {
                 continue;   // what it had used stands
             }
@@ -118,13 +114,6 @@
         return seen.values().stream().mapToDouble(Double::doubleValue).sum();
     }
 
-    /** Seconds of all cores that a process used, by itself and in the system. */
-    static double seconds(long pid) throws IOException {
-        String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
-        String[] words = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-        return (Long.parseLong(words[11]) + Long.parseLong(words[12])) * TICK;
-    }
-
     @Override
     public void close() throws IOException {
         over = true;
@@ -139,16 +128,4 @@
             throw fault;
         }
     }
-
-    /** Those of a box that are there. */
-    static List<Daemon> both(Daemon serves, Daemon comes) {
-        List<Daemon> all = new ArrayList<>();
-        if (serves != null) {
-            all.add(serves);
-        }
-        if (comes != null) {
-            all.add(comes);
-        }
-        return all;
-    }
 }
--- a/src/main/java/wharftrestle/lab/Scenario.java
+++ b/src/main/java/wharftrestle/lab/Scenario.java
@@ -10,8 +10,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Stream;
 import wharftrestle.lab.FaultScript.Fault;
 import wharftrestle.lab.FaultScript.Step;
 
@@ -42,9 +44,7 @@
         }
 
         synchronized List<Daemon> processes() {
-            List<Daemon> all = Holder.both(serves, comes);
-            all.addAll(Holder.both(ends, null));
-            return all;
+            return Stream.of(serves, comes, ends).filter(Objects::nonNull).toList();
         }
 
         void free() throws IOException {
@@ -93,7 +93,7 @@
                 if (!box.serves.awaitReady(READY_MS)) {
                     throw new IOException(box.name + " did not start:\n" + box.serves.log());
                 }
-                box.callers = new Callers(box.floor.address(), box.floor.pool(), script.play().callers(), KEY_MS,
+                box.callers = new Callers(box.floor, Callers.Habit.of(script.play().callers(), KEY_MS),
                         script.play().seed() + box.name.hashCode(), box::excused);
                 box.callers.start();
             }
@@ -166,7 +166,7 @@
         Link link = fault.path().isEmpty() ? null : box.floor.link(fault.path());
         boolean there = !fault.way().equals("back");
         boolean back = !fault.way().equals("there");
-        if (fault.kind() != FaultScript.Kind.HOLD) {
+        if (fault.kind() != FaultScript.Kind.HOLD && fault.kind() != FaultScript.Kind.CLOCK) {
             box.troubleAt = System.nanoTime();
         }
         switch (fault.kind()) {
@@ -213,6 +213,7 @@
                 box.holder = new Holder(box::processes, fault.value());
             }
             case FREE -> box.free();
+            case CLOCK -> box.floor.clockOff(Math.round(fault.value()));
             default -> throw new IllegalStateException("nothing does " + fault);
         }
     }
--- a/src/main/java/wharftrestle/lab/WorkerPool.java
+++ b/src/main/java/wharftrestle/lab/WorkerPool.java
@@ -1,21 +1,14 @@
 package wharftrestle.lab;
 
-import java.io.BufferedInputStream;
 import java.io.Closeable;
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -38,7 +31,7 @@
     /** One run, guarded by the lock of all: how it ended, and the link that asked for it last. */
     private static final class Spawned {
         private final String body;
-        private Socket socket;
+        private PoolPeer.Link link;
         private AtomicInteger notices;
         private byte[] end;   // null while it runs
 
@@ -50,7 +43,7 @@
     /** Runs whose end can be told again, as the protocol has it of notices. */
     private static final int MOST_KEPT = 4000;
 
-    private final ServerSocket server;
+    private final PoolPeer peer;
     private final ScheduledExecutorService cores = Executors.newScheduledThreadPool(4, task -> {
         Thread thread = new Thread(task, "stand-in core");
         thread.setDaemon(true);
@@ -65,7 +58,8 @@
             return size() > MOST_KEPT;
         }
     };
-    private final List<Socket> links = new CopyOnWriteArrayList<>();
+    /** Of each link, numbered anew for each start of a daemon, and on from what it has read. */
+    private final Map<PoolPeer.Link, AtomicInteger> links = new ConcurrentHashMap<>();
     private final Random random;
     private final int longestRun;
     private final int longestResult;
@@ -77,20 +71,33 @@
      * @param longestResult bytes that a run adds to its body's name
      */
     WorkerPool(WorkerPool before, Random random, int longestRun, int longestResult) throws IOException {
-        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         this.random = random;
         this.longestRun = longestRun;
         this.longestResult = longestResult;
         if (before != null) {
             runs.putAll(before.runs);
         }
-        Thread accept = new Thread(this::accept, "stand-in pool");
-        accept.setDaemon(true);
-        accept.start();
+        peer = new PoolPeer(new PoolPeer.Script() {
+            @Override
+            public boolean binds(PoolPeer.Link link, int read) throws IOException {
+                links.put(link, new AtomicInteger(read));
+                link.say("bound old 60000\r\n");
+                return true;
+            }
+
+            @Override
+            public void command(PoolPeer.Link link, String[] words, String body) throws IOException {
+                if (words[0].equals("poll")) {
+                    link.say("polled " + words[1] + " 0.2 1\r\n");
+                } else if (words[0].equals("spawn")) {
+                    run(link, words[1], body);
+                }
+            }
+        }).start();
     }
 
     InetSocketAddress address() {
-        return (InetSocketAddress) server.getLocalSocketAddress();
+        return peer.address();
     }
 
     /** Tells this one of each moment; null for nobody. */
@@ -118,51 +125,15 @@
         return runs.size();
     }
 
-    private void accept() {
-        try {
-            for (;;) {
-                Socket socket = server.accept();
-                links.add(socket);
-                socket.setTcpNoDelay(true);
-                Thread link = new Thread(() -> serve(socket), "stand-in link");
-                link.setDaemon(true);
-                link.start();
-            }
-        } catch (IOException closed) {
-            return;
-        }
-    }
-
-    private void serve(Socket socket) {
-        try {
-            InputStream in = new BufferedInputStream(socket.getInputStream());
-            // Numbered anew for each start of a daemon, and on from what it has read.
-            AtomicInteger notices = new AtomicInteger(Integer.parseInt(Bytes.line(in, 100).split(" ")[1]));
-            write(socket, Bytes.ascii("bound old 60000\r\n"));
-            for (;;) {
-                String[] w = Bytes.line(in, 400).split(" ");
-                if (w[0].equals("poll")) {
-                    write(socket, Bytes.ascii("polled " + w[1] + " 0.2 1\r\n"));
-                } else if (w[0].equals("spawn")) {
-                    String body = new String(Bytes.exactly(in, Integer.parseInt(w[3])), StandardCharsets.ISO_8859_1);
-                    Bytes.crlf(in);
-                    run(socket, notices, w[1], body);
-                }
-            }
-        } catch (IOException ended) {
-            return;   // the daemon has ended; its runs go on to their end
-        }
-    }
-
-    private void run(Socket socket, AtomicInteger notices, String ref, String body) {
+    private void run(PoolPeer.Link link, String ref, String body) {
         Spawned asked;
         boolean again;
         synchronized (spawned) {
             Spawned known = spawned.get(ref);
             again = known != null && known.body.equals(body);
             asked = again ? known : new Spawned(body);
-            asked.socket = socket;
-            asked.notices = notices;
+            asked.link = link;
+            asked.notices = links.get(link);
             spawned.put(ref, asked);
         }
         if (again) {
@@ -196,11 +167,11 @@
 
     /** Says how a run ended over the link that asked for it last; nothing while it runs. */
     private void tell(Spawned run) {
-        Socket socket;
+        PoolPeer.Link link;
         AtomicInteger notices;
         byte[] end;
         synchronized (spawned) {
-            socket = run.socket;
+            link = run.link;
             notices = run.notices;
             end = run.end;
         }
@@ -209,7 +180,7 @@
         }
         try {
             synchronized (notices) {
-                write(socket, Bytes.join(Bytes.ascii("finished " + notices.incrementAndGet() + " "), end));
+                link.say(Bytes.join(Bytes.ascii("finished " + notices.incrementAndGet() + " "), end));
             }
             moment(false);
         } catch (IOException gone) {
@@ -226,18 +197,9 @@
         }
     }
 
-    private static void write(Socket socket, byte[] bytes) throws IOException {
-        synchronized (socket) {
-            socket.getOutputStream().write(bytes);
-        }
-    }
-
     @Override
     public void close() throws IOException {
-        server.close();
-        for (Socket link : links) {
-            link.close();
-        }
+        peer.close();
         cores.shutdownNow();
     }
 }
--- a/src/main/java/wharftrestle/net/Address.java
+++ b/src/main/java/wharftrestle/net/Address.java
@@ -1,6 +1,9 @@
 package wharftrestle.net;
 
+import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 
 /** Addresses as they are written: HOST:PORT with a numeric host, as there are no names to look up. */
 public final class Address {
@@ -20,4 +23,11 @@
         }
         return null;
     }
+
+    /** A port on loopback that nobody has now. */
+    public static int freePort() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return probe.getLocalPort();
+        }
+    }
 }
--- a/src/main/java/wharftrestle/net/Server.java
+++ b/src/main/java/wharftrestle/net/Server.java
@@ -228,6 +228,17 @@
             }
         }
 
+        /** Why it is closed, and how it stood then: what to look for where a request was lost with it. */
+        private void note(String front, String why) {
+            if (Logger.isDebugEnabled()) {
+                long now = System.nanoTime();
+                Logger.debug("{}: {} closed: {} ({}, owes {}, heard {} ms ago, told to go {}{})", front,
+                        socket.getRemoteSocketAddress(), why, merit, owed.get(), (now - heardAt) / 1_000_000,
+                        dismissedAt == 0 ? "never" : (now - dismissedAt) / 1_000_000 + " ms ago",
+                        closed ? ", was closed" : "");
+            }
+        }
+
         @Override
         public void close() {
             synchronized (queue) {
@@ -373,6 +384,7 @@
         departing.removeIf(each -> !open.contains(each));
         if (open.size() - departing.size() >= most && !makeRoom()) {
             // Guards against connections eating the descriptors and threads: nothing was read of it.
+            Logger.debug("{}: {} closed unread: no room", name, socket.getRemoteSocketAddress());
             socket.close();
             return;
         }
@@ -478,22 +490,27 @@
         if (!told) {
             front.dismiss(connection);
         }
+        connection.note(name, told ? "it was told to go" : "to make room");
         connection.close();
         return true;
     }
 
     private void serve(Connection connection) {
+        String why = "its peer went, or was told to go";
         try {
             front.serve(connection);
         } catch (MalformedException e) {
+            why = "malformed input";
             counters.add(Count.MALFORMED);
             tell("malformed input, connection closed: " + e.getMessage());
         } catch (IOException e) {
-            Logger.debug("{}: connection ended: {}", name, e.getMessage());
+            why = e.toString();
         } catch (RuntimeException e) {
+            why = e.toString();
             tell("a connection ended by a fault: " + e);
         } finally {
             open.remove(connection);
+            connection.note(name, why);
             connection.close();
         }
     }
--- a/src/main/java/wharftrestle/version/Version.java
+++ b/src/main/java/wharftrestle/version/Version.java
@@ -49,9 +49,4 @@
         parts().forEach((name, value) -> lines.append(String.format("%-9s %s%n", name, value)));
         return lines.toString();
     }
-
-    /** The same build with other settings. */
-    public Version with(String otherSettings) {
-        return new Version(program, commit, build, otherSettings, handover, log, language);
-    }
 }
--- a/src/test/java/wharftrestle/DaemonTest.java
+++ b/src/test/java/wharftrestle/DaemonTest.java
@@ -15,7 +15,7 @@
 import sun.misc.Signal;
 import wharftrestle.Loopback.Caller;
 import wharftrestle.Loopback.Command;
-import wharftrestle.Loopback.Reply;
+import wharftrestle.lab.RespPeer.Reply;
 import wharftrestle.net.Bytes;
 import wharftrestle.net.Config;
 import wharftrestle.ops.Counters.Count;
--- a/src/test/java/wharftrestle/FullTableTest.java
+++ b/src/test/java/wharftrestle/FullTableTest.java
@@ -11,8 +11,8 @@
 import org.junit.jupiter.api.io.TempDir;
 import wharftrestle.Loopback.Caller;
 import wharftrestle.Loopback.Command;
-import wharftrestle.Loopback.Reply;
 import wharftrestle.keys.KeyRoom;
+import wharftrestle.lab.RespPeer.Reply;
 import wharftrestle.net.Config;
 import wharftrestle.ops.Counters.Count;
 
--- a/src/test/java/wharftrestle/Loopback.java
+++ b/src/test/java/wharftrestle/Loopback.java
@@ -27,21 +27,20 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import wharftrestle.keys.KeyRoom;
+import wharftrestle.lab.PoolPeer;
+import wharftrestle.lab.RespPeer;
 import wharftrestle.net.Bytes;
 import wharftrestle.net.Config;
 
 /** The one helper of the daemon's stories: a daemon on loopback with scripted peers all round it. */
 final class Loopback implements Closeable {
     static final long WAIT_S = 10;
+    private static final double KB = 24.5;
     private static final InetAddress HOST = InetAddress.getLoopbackAddress();
 
     /** A command that the worker pool read, with its body. */
     record Command(String verb, String ref, String rest, String body) { }
 
-    /** An answer as a front end reads it. */
-    record Reply(String tag, String word, String fields, String body) { }
-
-    ServerSocket pool = new ServerSocket(0, 50, HOST);
     ServerSocket store = new ServerSocket(0, 50, HOST);
     DatagramSocket naming = new DatagramSocket(0, HOST);
     final BlockingQueue<Command> commands = new LinkedBlockingQueue<>();
@@ -56,11 +55,12 @@
     volatile double autoMs = -1;
     private final long[] coreFree = {System.nanoTime(), System.nanoTime()};
     private final List<long[]> work = new ArrayList<>();
+    PoolPeer pool = new PoolPeer(new Workers()).start();
     /** Where set, the worker pool reads the present link and says nothing on it; a new one is served. */
     volatile boolean mute;
     /** At the ports of worker pools of stories that are over, so that they are nobody else's; nobody listens there. */
     private static final List<Socket> KEPT = new CopyOnWriteArrayList<>();
-    private volatile Socket link;
+    private volatile PoolPeer.Link link;
 
     /** Descriptors that the daemon is told it may have. */
     private final int sockets;
@@ -103,21 +103,19 @@
     }
 
     private Config config(Sites.Builder site) {
-        return new Config("n1", elder == null ? any() : elder.life.respAddress(), at(pool), site.calls ? at(store) : null,
-                new InetSocketAddress(HOST, naming.getLocalPort()), any(), 7, 3.2, site.share, sockets, 192, meeting,
-                site.build());
+        return new Config("n1", elder == null ? any() : elder.life.respAddress(), pool.address(),
+                site.calls ? at(store) : null, new InetSocketAddress(HOST, naming.getLocalPort()), any(), 7, 3.2, site.share,
+                sockets, 192, meeting, site.build());
     }
 
     /** The same addresses with another meeting place. */
     Config stranger(Path elsewhere) {
-        return new Config("n1", life.respAddress(), at(pool), at(store), any(), any(), 7, 3.2, 1, sockets, 192, elsewhere,
-                life.core().settings());
+        return new Config("n1", life.respAddress(), pool.address(), at(store), any(), any(), 7, 3.2, 1, sockets, 192,
+                elsewhere, life.core().settings());
     }
 
     private void servePeers() {
-        ServerSocket runs = pool;
         ServerSocket rows = store;
-        thread(() -> servePool(runs));
         thread(() -> serveStore(rows));
     }
 
@@ -126,7 +124,7 @@
         pool.close();
         store.close();
         naming.close();
-        pool = new ServerSocket(0, 50, HOST);
+        pool = new PoolPeer(new Workers()).start();
         store = new ServerSocket(0, 50, HOST);
         naming = new DatagramSocket(0, HOST);
         servePeers();
@@ -159,76 +157,58 @@
 
     // ---- Worker pool ----
 
-    private void servePool(ServerSocket pool) throws Exception {
-        for (;;) {
-            Socket socket = pool.accept();
-            socket.setTcpNoDelay(true);
-            InputStream in = new BufferedInputStream(socket.getInputStream());
-            String[] bind;
-            try {
-                socket.setSoTimeout((int) WAIT_S * 1000);
-                bind = Bytes.line(in, 100).split(" ");
-                socket.setSoTimeout(0);
-            } catch (IOException gone) {
-                continue;
-            }
+    /** What the worker pool does: it takes a core for a while, or the story says what comes of each command. */
+    private final class Workers implements PoolPeer.Script {
+        @Override
+        public boolean binds(PoolPeer.Link bound, int read) throws IOException {
             synchronized (notices) {
-                if (Integer.parseInt(bind[1]) > notices.size()) {
+                if (read > notices.size()) {
                     // Of a daemon of an earlier story, whose worker pool had this port: it looks for it for ever.
-                    socket.close();
-                    continue;
+                    return false;
                 }
-                link = socket;
+                link = bound;
                 mute = false;
-                write(socket, "bound old 12.750\r\n");
-                for (String notice : notices.subList(Integer.parseInt(bind[1]), notices.size())) {
-                    write(socket, notice);
+                bound.say("bound old 12.750\r\n");
+                for (String notice : notices.subList(read, notices.size())) {
+                    bound.say(notice);
                 }
             }
-            commands.add(new Command("bind", "", bind[1], ""));
-            thread(() -> {
-                for (;;) {
-                    String line = Bytes.line(in, 200);
-                    String[] w = line.split(" ");
-                    String body = "";
-                    if (w[0].equals("spawn") || w[0].equals("supply")) {
-                        body = new String(Bytes.exactly(in, Integer.parseInt(w[w.length - 1])), "ISO-8859-1");
-                        Bytes.crlf(in);
-                    }
-                    take(socket, w, body);
-                }
-            });
+            commands.add(new Command("bind", "", Integer.toString(read), ""));
+            return true;
         }
-    }
 
-    private void take(Socket socket, String[] w, String body) throws Exception {
-        if (mute && socket == link) {
-            return;
-        }
-        if (w[0].equals("poll")) {
-            write(socket, "polled " + w[1] + " " + busy() + " " + running.get() + "\r\n");
-            return;
-        }
-        if (w[0].equals("spawn") && autoMs >= 0) {
-            runs.computeIfAbsent(body, key -> new AtomicInteger()).incrementAndGet();
-            running.incrementAndGet();
-            long now = System.nanoTime();
-            int core = coreFree[0] <= coreFree[1] ? 0 : 1;
-            long from = Math.max(now, coreFree[core]);
-            coreFree[core] = from + (long) (autoMs * 1e6);
-            work.add(new long[] {from, coreFree[core]});
-            cores.schedule(() -> {
-                running.decrementAndGet();
-                finish(w[1], "good", (System.nanoTime() - now) / 1e6, body);
-                return null;
-            }, coreFree[core] - now, TimeUnit.NANOSECONDS);
-        } else {
-            commands.add(new Command(w[0], w[1], w[0].equals("spawn") ? w[2] : "", body));
+        @Override
+        public void command(PoolPeer.Link from, String[] w, String body) throws IOException {
+            if (mute && from == link) {
+                return;
+            }
+            if (w[0].equals("poll")) {
+                from.say("polled " + w[1] + " " + busy() + " " + running.get() + "\r\n");
+            } else if (w[0].equals("spawn") && autoMs >= 0) {
+                takeCore(w[1], body);
+            } else {
+                commands.add(new Command(w[0], w[1], w[0].equals("spawn") ? w[2] : "", body));
+            }
         }
     }
 
+    private synchronized void takeCore(String ref, String body) {
+        runs.computeIfAbsent(body, key -> new AtomicInteger()).incrementAndGet();
+        running.incrementAndGet();
+        long now = System.nanoTime();
+        int core = coreFree[0] <= coreFree[1] ? 0 : 1;
+        long from = Math.max(now, coreFree[core]);
+        coreFree[core] = from + (long) (autoMs * 1e6);
+        work.add(new long[] {from, coreFree[core]});
+        cores.schedule(() -> {
+            running.decrementAndGet();
+            finish(ref, "good", (System.nanoTime() - now) / 1e6, body);
+            return null;
+        }, coreFree[core] - now, TimeUnit.NANOSECONDS);
+    }
+
     /** Share of the two cores' time of the last half second that was spent on runs. */
-    private double busy() {
+    private synchronized double busy() {
         long now = System.nanoTime();
         long span = 500_000_000;
         work.removeIf(run -> run[1] < now - span);
@@ -263,19 +243,19 @@
         synchronized (notices) {
             String numbered = text.replaceFirst("%d", Integer.toString(notices.size() + 1));
             notices.add(numbered);
-            if (!link.isClosed()) {
-                write(link, numbered);
+            if (link.open()) {
+                link.say(numbered);
             }
         }
     }
 
     void raw(String text) throws IOException {
-        write(link, text);
+        link.say(text);
     }
 
     void breakLink() throws IOException {
         synchronized (notices) {
-            link.close();
+            link.cut();
         }
     }
 
@@ -370,23 +350,11 @@
     // ---- Callers ----
 
     /** A front end's connection. */
-    final class Caller implements Closeable {
-        final Socket socket = new Socket();
-        private final InputStream in;
+    final class Caller extends RespPeer {
+        final Socket socket = socket();
 
         Caller() throws IOException {
-            socket.setTcpNoDelay(true);
-            socket.connect(life.respAddress());
-            socket.setSoTimeout((int) WAIT_S * 1000);
-            in = new BufferedInputStream(socket.getInputStream());
-        }
-
-        void send(String... words) throws IOException {
-            StringBuilder text = new StringBuilder("*" + words.length + "\r\n");
-            for (String word : words) {
-                text.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
-            }
-            write(socket, text.toString());
+            super(life.respAddress(), (int) WAIT_S * 1000);
         }
 
         /** Asks; the reference is the tag in hex, the key null where the class has none. */
@@ -395,23 +363,7 @@
         }
 
         void ask(int tag, long ref, long door, String type, String key, String body) throws IOException {
-            send("ASK", Integer.toString(tag), type, String.format("txn=%016x,door=%d,lb=1,ram=24.5,standing=0.5",
-                    ref, door) + (key == null ? "" : ",unique=" + key), body);
-        }
-
-        Reply reply() throws IOException {
-            String[] words = new String[Integer.parseInt(Bytes.line(in, 20).substring(1))];
-            for (int i = 0; i < words.length; i++) {
-                int length = Integer.parseInt(Bytes.line(in, 20).substring(1));
-                words[i] = new String(Bytes.exactly(in, length), "ISO-8859-1");
-                Bytes.crlf(in);
-            }
-            return new Reply(words[0], words[1], words[2], words[3]);
-        }
-
-        @Override
-        public void close() throws IOException {
-            socket.close();
+            ask(Integer.toString(tag), ref, door, type, KB, key, body);
         }
     }
 
@@ -452,11 +404,8 @@
         cores.shutdownNow();
         // Guards against another story having this port: the daemon of this one looks for its worker pool for ever, and
         // would be taken for that story's own.
-        InetSocketAddress port = at(pool);
+        InetSocketAddress port = pool.address();
         pool.close();
-        if (link != null) {
-            link.close();
-        }
         Socket taken = new Socket();
         taken.setReuseAddress(true);
         try {
--- a/src/test/java/wharftrestle/ResultsTest.java
+++ b/src/test/java/wharftrestle/ResultsTest.java
@@ -20,10 +20,10 @@
 import org.junit.jupiter.api.io.TempDir;
 import wharftrestle.Loopback.Caller;
 import wharftrestle.Loopback.Command;
-import wharftrestle.Loopback.Reply;
 import wharftrestle.core.Records;
 import wharftrestle.durable.Journal;
 import wharftrestle.durable.UnusableException;
+import wharftrestle.lab.RespPeer.Reply;
 import wharftrestle.net.Config;
 
 /** Stories of results kept over restarts: a daemon is killed where its folder is copied as it stands. */
--- a/src/test/java/wharftrestle/Sites.java
+++ b/src/test/java/wharftrestle/Sites.java
@@ -4,7 +4,7 @@
 import wharftrestle.policy.Admission;
 
 /** Settings made up for tests; two cores, so that the running limit starts at two. */
-final class Sites {
+public final class Sites {
     static final int READ = 0;
     static final int SAVE = 1;
     static final int KEYED = 2;
@@ -13,7 +13,7 @@
 
     private Sites() { }
 
-    static Builder site() {
+    public static Builder site() {
         return new Builder();
     }
 
@@ -24,7 +24,8 @@
         return site;
     }
 
-    static final class Builder {
+    /** What a test may have otherwise before it builds. */
+    public static final class Builder {
         private boolean swapped;
         double memory = 10_000;
         double keyMemory = 10;
@@ -49,7 +50,7 @@
                     calls, skipWorth);
         }
 
-        Admission.Settings build() {
+        public Admission.Settings build() {
             return new Admission.Settings(List.of(
                     type(swapped ? "save" : "read", 2, 6, swapped ? 3 : 1, 0, Admission.Repeat.SAFE),
                     type(swapped ? "read" : "save", 2, 6, swapped ? 1 : 3, 0, Admission.Repeat.SAFE),
--- a/src/test/java/wharftrestle/UpgradeTest.java
+++ b/src/test/java/wharftrestle/UpgradeTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import wharftrestle.Loopback.Caller;
 import wharftrestle.Loopback.Command;
-import wharftrestle.Loopback.Reply;
+import wharftrestle.lab.RespPeer.Reply;
 import wharftrestle.net.Config;
 
 /** Stories of two processes that serve one box while the new one takes over. */
--- a/src/test/java/wharftrestle/UwsgiTest.java
+++ b/src/test/java/wharftrestle/UwsgiTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.Test;
 import wharftrestle.Loopback.Caller;
 import wharftrestle.Loopback.Command;
+import wharftrestle.lab.RespPeer;
 import wharftrestle.net.Config;
 import wharftrestle.ops.Counters.Count;
 
@@ -145,7 +146,7 @@
                 new Thread(() -> {
                     try {
                         for (;;) {
-                            Loopback.Reply reply = caller.reply();
+                            RespPeer.Reply reply = caller.reply();
                             double worth = worths.get(Integer.parseInt(reply.tag()));
                             served.add(reply.word().equals("done") ? worth : 0);
                             worths.remove(Integer.parseInt(reply.tag()));
--- a/src/test/java/wharftrestle/box/BoxTest.java
+++ b/src/test/java/wharftrestle/box/BoxTest.java
@@ -150,7 +150,7 @@
 
     private String ask(String key) throws IOException {
         try (Desk desk = new Desk(floor.address())) {
-            return new String(desk.ask("save", System.nanoTime(), key, "note of " + key).body());
+            return desk.ask("save", System.nanoTime(), key, "note of " + key).body();
         }
     }
 
@@ -232,9 +232,12 @@
         await("serving", "two");
     }
 
-    /** The steps of a start and a change: starting, started, serves; starting, started, ended, promoted, held. */
+    /**
+     * The steps of a start, a change and the way back: starting, started, serves; starting, started, ended, promoted, held;
+     * starting, started, ended, promoted, held.
+     */
     @ParameterizedTest
-    @ValueSource(ints = {2, 3, 4, 5, 6, 7, 8})
+    @ValueSource(ints = {2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13})
     void aKeeperThatEndsAtAnyStepIsFollowedByOneThatEndsOrUndoesTheChange(int step) throws Exception {
         AtomicInteger steps = new AtomicInteger();
         keep("one", each -> {
@@ -246,6 +249,9 @@
             if (steps.get() == 3 && status().path("state").asText().equals("serving")) {
                 order("change two");
             }
+            if (steps.get() == 8 && status().path("state").asText().equals("serving")) {
+                order("back");
+            }
             LockSupport.parkNanos(10_000_000);
         }
         stop();
--- a/src/test/java/wharftrestle/handover/AgreementTest.java
+++ b/src/test/java/wharftrestle/handover/AgreementTest.java
@@ -22,7 +22,7 @@
 
     private static Terms terms(Range speaks, String folder, List<Terms.Kind> classes, List<String> tenants,
             Terms.Room room) {
-        return new Terms("a build", speaks, new Range(1, 1), folder, classes, tenants, room);
+        return new Terms("a build", speaks, new Range(1, 1), folder, classes, tenants, room, 0);
     }
 
     private static Terms plain(Terms.Kind... classes) {
@@ -30,7 +30,7 @@
     }
 
     private static Terms kept(String folder, Range log) {
-        return new Terms("a build", new Range(1, 2), log, folder, List.of(READ, SAVE), List.of(), ROOM);
+        return new Terms("a build", new Range(1, 2), log, folder, List.of(READ, SAVE), List.of(), ROOM, 0);
     }
 
     private static String against(Terms serves, Terms next) {
--- a/src/test/java/wharftrestle/lab/HolderTest.java
+++ b/src/test/java/wharftrestle/lab/HolderTest.java
@@ -89,11 +89,11 @@
         try (Floor floor = new Floor(folder, "", 5, Floor.Play.of(192))) {
             Daemon daemon = floor.begin(new Floor.Version(null, "wharftrestle.Main", floor.settings(), ""));
             assertTrue(daemon.awaitReady(20_000), daemon.log());
-            Callers callers = new Callers(floor.address(), floor.pool(), 16, 9000, 5, () -> false);
+            Callers callers = new Callers(floor, Callers.Habit.of(16, 9000), 5, () -> false);
             double before;
             long began;
             try (Holder holder = new Holder(() -> List.of(daemon), 0.15)) {
-                before = Holder.seconds(daemon.pid());
+                before = daemon.cpuSeconds();
                 began = System.nanoTime();
                 callers.start();
                 long until = began + TimeUnit.SECONDS.toNanos(20);
@@ -102,7 +102,7 @@
                 }
                 assertTrue(holder.stops() >= 20, "it was never over its share");
                 double span = (System.nanoTime() - began) / 1e9;
-                double used = Holder.seconds(daemon.pid()) - before;
+                double used = daemon.cpuSeconds() - before;
                 assertTrue(used < 2 * 0.15 * span + 0.2, used + " s in " + span);
             }
             int served = callers.served();
--- a/src/test/java/wharftrestle/lab/LabTest.java
+++ b/src/test/java/wharftrestle/lab/LabTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -29,6 +31,8 @@
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import wharftrestle.net.Bytes;
 import wharftrestle.settings.BadSettingsException;
 
@@ -262,7 +266,8 @@
                 }
             });
             daemon.start();
-            Callers callers = new Callers((InetSocketAddress) front.getLocalSocketAddress(), pool, 1, 9000, 11, () -> false);
+            Callers callers = new Callers((InetSocketAddress) front.getLocalSocketAddress(), pool, System::currentTimeMillis,
+                    Callers.Habit.of(1, 9000), 11, () -> false);
             callers.start();
             long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
             while (callers.served() < 60 && System.nanoTime() < until
@@ -357,6 +362,24 @@
 
     // ---- A play ----
 
+    /** Stamps are of the machine's clock: where it steps, windows of keys and due times may not move. */
+    @ParameterizedTest
+    @ValueSource(strings = {"True", "False"})
+    void aClockThatStepsWithinAWindowRunsNoKeyTwice(String kept) throws Exception {
+        FaultScript script = FaultScript.parse("f.star", """
+                play(seconds = 7, boxes = 1, callers = 4, seed = 6, kept = KEPT)
+                at(1.5, clock("b1", 3600000))
+                at(2.5, change("b1"))
+                at(4.5, clock("b1", -3600000))
+                at(5.5, change("b1"))
+                """.replace("KEPT", kept));
+        ByteArrayOutputStream results = new ByteArrayOutputStream();
+        assertTrue(new Scenario(script, null, System.out, new PrintStream(results)).play(), results.toString());
+        JsonNode tally = new ObjectMapper().readTree(results.toString().split("\n")[4]).path("tally");
+        assertTrue(tally.path("again").asInt() > 50, "keys were repeated throughout: " + tally);
+        assertTrue(tally.path("failed").asInt() + tally.path("refused").asInt() < 20, "it served on: " + tally);
+    }
+
     @Test
     void aPlayWithFaultsBetweenRealProcessesKeepsTheRules() throws Exception {
         FaultScript script = FaultScript.parse("f.star", """
--- a/src/test/java/wharftrestle/net/ConfigTest.java
+++ b/src/test/java/wharftrestle/net/ConfigTest.java
@@ -17,24 +17,32 @@
 
 /** What the platform's configuration may leave out, and what it may not. */
 class ConfigTest {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
     @TempDir
     private Path folder;
 
+    private static ObjectNode whole() throws IOException {
+        try (InputStream told = Config.class.getResourceAsStream("/rehearsal.json")) {
+            return (ObjectNode) MAPPER.readTree(told);
+        }
+    }
+
+    private Config read(ObjectNode root) throws IOException, Config.BadConfigException {
+        Path file = folder.resolve("config.json");
+        Files.write(file, MAPPER.writeValueAsBytes(root));
+        return Config.read(Map.of("EDGE_CONFIG", file.toString()));
+    }
+
     /** A whole configuration whose runs call below as told, with what stands there for 'db'; null for nothing. */
     private Config read(String downstream, String db) throws IOException, Config.BadConfigException {
-        ObjectMapper mapper = new ObjectMapper();
-        ObjectNode root;
-        try (InputStream whole = Config.class.getResourceAsStream("/rehearsal.json")) {
-            root = (ObjectNode) mapper.readTree(whole);
-        }
+        ObjectNode root = whole();
         ((ObjectNode) root.at("/settings/specifics")).put("downstream", downstream);
         root.remove("db");
         if (db != null) {
-            root.set("db", mapper.readTree(db));
+            root.set("db", MAPPER.readTree(db));
         }
-        Path file = folder.resolve("config.json");
-        Files.write(file, mapper.writeValueAsBytes(root));
-        return Config.read(Map.of("EDGE_CONFIG", file.toString()));
+        return read(root);
     }
 
     private String refused(String downstream, String db) {
@@ -62,17 +70,10 @@
 
     @Test
     void thePoolAndTheNameServiceAreNeededEverywhere() throws Exception {
-        ObjectMapper mapper = new ObjectMapper();
         for (String needed : new String[] {"pool", "naming", "listen"}) {
-            ObjectNode root;
-            try (InputStream whole = Config.class.getResourceAsStream("/rehearsal.json")) {
-                root = (ObjectNode) mapper.readTree(whole);
-            }
+            ObjectNode root = whole();
             root.put(needed, "");
-            Path file = folder.resolve("without.json");
-            Files.write(file, mapper.writeValueAsBytes(root));
-            String why = assertThrows(Config.BadConfigException.class,
-                    () -> Config.read(Map.of("EDGE_CONFIG", file.toString()))).getMessage();
+            String why = assertThrows(Config.BadConfigException.class, () -> read(root)).getMessage();
             assertEquals("'" + needed + "' is no address: ''", why);
         }
     }
--- a/src/test/java/wharftrestle/prove/BenchBuilds.java
+++ b/src/test/java/wharftrestle/prove/BenchBuilds.java
@@ -17,8 +17,6 @@
     private static final int CALLERS = 24;
     private static final int ROUNDS = 4;
     private static final long READY_MS = 20_000;
-    /** Jiffies a second, as Linux counts them for every program. */
-    private static final double HERTZ = 100;
 
     private BenchBuilds() { }
 
@@ -49,14 +47,14 @@
             if (!daemon.awaitReady(READY_MS)) {
                 throw new IllegalStateException("it did not start:\n" + daemon.log());
             }
-            double start = cpu(daemon);
-            Callers callers = new Callers(floor.address(), floor.pool(), CALLERS, 9000, seed, () -> false);
+            double start = daemon.cpuSeconds();
+            Callers callers = new Callers(floor, Callers.Habit.of(CALLERS, 9000), seed, () -> false);
             callers.start();
             LockSupport.parkNanos(TimeUnit.SECONDS.toNanos(2));
-            double before = cpu(daemon);
+            double before = daemon.cpuSeconds();
             int served = callers.served();
             LockSupport.parkNanos(TimeUnit.SECONDS.toNanos(6));
-            double took = cpu(daemon) - before;
+            double took = daemon.cpuSeconds() - before;
             int answers = callers.served() - served;
             callers.stop();
             if (!callers.tally().holds()) {
@@ -67,11 +65,4 @@
             Floor.delete(folder);
         }
     }
-
-    /** Seconds that the process has used. */
-    private static double cpu(Daemon daemon) throws Exception {
-        String stat = Files.readString(Path.of("/proc/" + daemon.pid() + "/stat"));
-        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-        return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / HERTZ;
-    }
 }
--- a/src/test/java/wharftrestle/prove/BenchChange.java
+++ b/src/test/java/wharftrestle/prove/BenchChange.java
@@ -33,7 +33,7 @@
             if (!serves.awaitReady(READY_MS)) {
                 throw new IllegalStateException("the first process did not start:\n" + serves.log());
             }
-            Callers callers = new Callers(floor.address(), floor.pool(), CALLERS, 9000, seed, () -> false);
+            Callers callers = new Callers(floor, Callers.Habit.of(CALLERS, 9000), seed, () -> false);
             callers.start();
             LockSupport.parkNanos(TimeUnit.SECONDS.toNanos(4));   // its code is compiled by then
             System.out.printf(Locale.ROOT, "bench-change: seed %d, %d callers, answers a second%n", seed, CALLERS);
--- a/src/test/java/wharftrestle/prove/ProveChange.java
+++ b/src/test/java/wharftrestle/prove/ProveChange.java
@@ -132,7 +132,7 @@
         if (!old.awaitReady(readyMs)) {
             throw new IOException("the first process did not start:\n" + old.log());
         }
-        callers = new Callers(floor.address(), floor.pool(), DESKS, KEY_MS, random.nextLong(),
+        callers = new Callers(floor, Callers.Habit.of(DESKS, KEY_MS), random.nextLong(),
                 () -> killing || System.nanoTime() - killedAt < TimeUnit.MILLISECONDS.toNanos(KILL_MS));
         callers.start();
         for (int i = 0; i < changes; i++) {
--- a/src/test/java/wharftrestle/prove/ProveMemory.java
+++ b/src/test/java/wharftrestle/prove/ProveMemory.java
@@ -23,6 +23,7 @@
 import wharftrestle.lab.Daemon;
 import wharftrestle.lab.Desk;
 import wharftrestle.lab.Floor;
+import wharftrestle.lab.RespPeer;
 
 /**
  * Proves that memory holds on long days: real daemons are asked keyed requests with bodies and results of the largest
@@ -223,12 +224,12 @@
 
     /** Asks a new key; false where it was refused. */
     private boolean fresh(Desk desk, ArrayDeque<Served> mine, String key) throws IOException {
-        Desk.Reply reply = desk.ask("save", references.incrementAndGet(), key, body(key));
+        RespPeer.Reply reply = desk.ask("save", references.incrementAndGet(), key, body(key));
         switch (reply.word()) {
             case "done" -> {
                 seen.served.incrementAndGet();
-                mine.add(new Served(key, body(key), reply.body(), System.nanoTime()));
-                given(reply.body().length);
+                mine.add(new Served(key, body(key), reply.bytes(), System.nanoTime()));
+                given(reply.bytes().length);
                 return true;
             }
             case "later" -> {
@@ -242,7 +243,7 @@
         }
     }
 
-    private void refused(String key, Desk.Reply reply) {
+    private void refused(String key, RespPeer.Reply reply) {
         seen.refused.incrementAndGet();
         Matcher told = Pattern.compile("later=(\\d+)").matcher(reply.fields());
         if (!told.find() || Integer.parseInt(told.group(1)) <= 0) {
@@ -272,8 +273,8 @@
     }
 
     private void repeat(Desk desk, Served known) throws IOException {
-        Desk.Reply reply = desk.ask("save", references.incrementAndGet(), known.key(), known.body());
-        if (reply.word().equals("done") && Arrays.equals(known.result(), reply.body())) {
+        RespPeer.Reply reply = desk.ask("save", references.incrementAndGet(), known.key(), known.body());
+        if (reply.word().equals("done") && Arrays.equals(known.result(), reply.bytes())) {
             seen.again.incrementAndGet();
         } else {
             seen.wrong.incrementAndGet();
--- a/src/test/java/wharftrestle/prove/ProveResults.java
+++ b/src/test/java/wharftrestle/prove/ProveResults.java
@@ -1,20 +1,12 @@
 package wharftrestle.prove;
 
-import java.io.IOException;
 import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.List;
 import java.util.Locale;
 import java.util.Random;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
-import wharftrestle.lab.Desk;
+import wharftrestle.lab.Callers;
 import wharftrestle.lab.Floor;
 import wharftrestle.lab.WorkerPool;
 
@@ -27,49 +19,31 @@
     private static final int DESKS = 8;
     /** Milliseconds for which a key is repeated: well inside its window of 24 s. */
     private static final long KEY_MS = 14_000;
-    /** Part of requests that are of a new key. */
-    private static final double FRESH = 0.3;
+    /** Part of requests that repeat a key. */
+    private static final double AGAIN = 0.7;
     /** Milliseconds that a desk waits between two requests, at most. */
     private static final int THINK = 50;
     /** Milliseconds that a daemon serves before it is killed, at most. */
     private static final int LONGEST_LIFE = 900;
 
-    /** One key as its desk knows it. */
-    private static final class Key {
-        private final String name;
-        private final String body;
-        private final long since = System.currentTimeMillis();
-        private byte[] result;
-
-        Key(String name, String body) {
-            this.name = name;
-            this.body = body;
-        }
-    }
-
     /** What was seen of one way of playing. */
     static final class Seen {
-        final AtomicInteger repeats = new AtomicInteger();
-        final AtomicInteger served = new AtomicInteger();
-        final AtomicInteger replayed = new AtomicInteger();
-        final AtomicInteger failed = new AtomicInteger();
-        final AtomicInteger refused = new AtomicInteger();
-        final AtomicInteger refusedAfterRun = new AtomicInteger();
-        final AtomicInteger notItsBytes = new AtomicInteger();
+        Callers.Tally tally;
         int kills;
         int keys;
-        int doubleRuns;
 
+        /** Its result was on disk before it was answered once: nothing but that may come of a key after it. */
         boolean holds() {
-            return doubleRuns == 0 && refusedAfterRun.get() == 0 && notItsBytes.get() == 0;
+            return tally.runTwice() == 0 && tally.refusedAfterRun() == 0 && tally.otherBytes() == 0
+                    && tally.failedAfterResult() == 0;
         }
 
         @Override
         public String toString() {
             return String.format(Locale.ROOT, "%d repeats of %d keys, %d kills, %d double runs, %d refused after a run, "
-                    + "%d not with their bytes (%d served, %d of them again, %d failed, %d refused)", repeats.get(), keys,
-                    kills, doubleRuns, refusedAfterRun.get(), notItsBytes.get(), served.get(), replayed.get(), failed.get(),
-                    refused.get());
+                    + "%d not with their bytes (%d served, %d of them again, %d failed, %d refused)", tally.repeats(), keys,
+                    kills, tally.runTwice(), tally.refusedAfterRun(), tally.otherBytes() + tally.failedAfterResult(),
+                    tally.served(), tally.again(), tally.failed(), tally.refused());
         }
     }
 
@@ -77,10 +51,7 @@
     private final Seen seen = new Seen();
     private final int wanted;
     private final int kills;
-    private volatile boolean over;
     private final PrintStream out;
-    private final AtomicReference<Throwable> fault = new AtomicReference<>();
-    private final AtomicLong references = new AtomicLong(1);
 
     private ProveResults(Floor floor, int wanted, int kills, PrintStream out) {
         this.floor = floor;
@@ -102,36 +73,18 @@
 
     private Seen play(Random random) throws Exception {
         floor.start();
-        List<Thread> desks = new ArrayList<>();
-        for (int i = 0; i < DESKS; i++) {
-            long seed = random.nextLong();
-            Thread desk = new Thread(() -> {
-                try {
-                    sit(new Random(seed));
-                } catch (RuntimeException | Error e) {
-                    fault.compareAndSet(null, e);
-                }
-            }, "desk " + i);
-            desk.setDaemon(true);
-            desk.start();
-            desks.add(desk);
-        }
-        while ((seen.repeats.get() < wanted || seen.kills < kills) && fault.get() == null) {
+        Callers callers = new Callers(floor, new Callers.Habit(DESKS, KEY_MS, AGAIN, THINK), random.nextLong(), () -> true);
+        callers.start();
+        while (callers.repeats() < wanted || seen.kills < kills) {
             killAt(random);
             seen.kills++;
             floor.start();
             if (seen.kills % 20 == 0) {
-                out.println("  " + seen.repeats.get() + " repeats, " + seen.kills + " kills");
+                out.println("  " + callers.repeats() + " repeats, " + seen.kills + " kills");
             }
         }
-        over = true;
-        for (Thread desk : desks) {
-            desk.join();
-        }
-        if (fault.get() != null) {
-            throw new IllegalStateException("a desk failed", fault.get());
-        }
-        seen.doubleRuns = floor.doubleRuns();
+        callers.stop();
+        seen.tally = callers.tally();
         seen.keys = floor.bodies();
         return seen;
     }
@@ -174,77 +127,6 @@
         floor.watch(null);
     }
 
-    /** One desk: asks new keys and repeats old ones, and judges every answer. */
-    private void sit(Random random) {
-        List<Key> keys = new ArrayList<>();
-        Desk desk = null;
-        Key lost = null;   // asked and not answered: the first thing to ask again
-        while (!over && fault.get() == null) {
-            keys.removeIf(key -> System.currentTimeMillis() - key.since > KEY_MS);
-            boolean fresh = lost == null && (keys.isEmpty() || random.nextDouble() < FRESH);
-            if (fresh) {
-                String name = Long.toHexString(random.nextLong()) + Long.toHexString(random.nextLong());
-                keys.add(new Key(name, "note of " + name));
-            }
-            Key key = lost != null ? lost : fresh ? keys.get(keys.size() - 1) : keys.get(random.nextInt(keys.size()));
-            lost = key;
-            try {
-                desk = desk != null ? desk : new Desk(floor.address());
-                judge(key, fresh, desk.ask("save", references.incrementAndGet(), key.name, key.body));
-                lost = null;
-                LockSupport.parkNanos(random.nextInt(THINK) * 1_000_000L);
-            } catch (IOException killed) {
-                // Nothing is known of this try; the key is repeated later as any other.
-                try {
-                    if (desk != null) {
-                        desk.close();
-                    }
-                } catch (IOException e) {
-                    fault.compareAndSet(null, e);
-                }
-                desk = null;
-                LockSupport.parkNanos(5_000_000);
-            }
-        }
-    }
-
-    private void judge(Key key, boolean fresh, Desk.Reply reply) {
-        int runs = floor.runs(key.body);
-        if (!fresh) {
-            seen.repeats.incrementAndGet();
-        }
-        switch (reply.word()) {
-            case "done" -> {
-                seen.served.incrementAndGet();
-                if (key.result != null) {
-                    seen.replayed.incrementAndGet();
-                }
-                boolean own = new String(reply.body(), StandardCharsets.ISO_8859_1)
-                        .startsWith(key.body + " run ");
-                if (!own || key.result != null && !Arrays.equals(key.result, reply.body())) {
-                    seen.notItsBytes.incrementAndGet();
-                    out.println("  other bytes for " + key.body);
-                }
-                key.result = reply.body();
-            }
-            case "later" -> {
-                seen.refused.incrementAndGet();
-                if (runs > 0) {
-                    seen.refusedAfterRun.incrementAndGet();
-                    out.println("  refused after " + runs + " runs: " + key.body);
-                }
-            }
-            default -> {
-                seen.failed.incrementAndGet();
-                if (key.result != null) {
-                    // Its result was on disk before it was answered once: nothing but that may come of it.
-                    seen.notItsBytes.incrementAndGet();
-                    out.println("  failed though its result was given before: " + key.body);
-                }
-            }
-        }
-    }
-
     public static void main(String[] args) throws Exception {
         boolean brief = "1".equals(System.getenv("SHORT"));
         long seed = args.length > 0 ? Long.parseLong(args[0]) : System.nanoTime();
@@ -258,9 +140,9 @@
         out.println("  kept: " + on);
         Seen off = play(false, 0, Math.min(kills, 12), seed, out);
         out.println("  not kept: " + off);
-        boolean holds = on.holds() && off.doubleRuns > 0 && on.replayed.get() > 0 && on.kills > 0;
+        boolean holds = on.holds() && off.tally.runTwice() > 0 && on.tally.again() > 0 && on.kills > 0;
         out.printf(Locale.ROOT, "prove-results: %s, kept: %s; not kept: %d double runs in %d repeats%n",
-                holds ? "holds" : "falls short", on, off.doubleRuns, off.repeats.get());
+                holds ? "holds" : "falls short", on, off.tally.runTwice(), off.tally.repeats());
         return holds;
     }
 }
--- a/src/test/java/wharftrestle/prove/ProveResultsTest.java
+++ b/src/test/java/wharftrestle/prove/ProveResultsTest.java
@@ -13,12 +13,13 @@
     void nothingRunsTwiceOverKillsAndWithoutTheStoreItDoes() throws Exception {
         ProveResults.Seen kept = ProveResults.play(true, 400, 8, SEED, System.out);
         System.out.println("kept, seed " + SEED + ": " + kept);
-        assertEquals(0, kept.doubleRuns);
-        assertEquals(0, kept.refusedAfterRun.get());
-        assertEquals(0, kept.notItsBytes.get());
-        assertTrue(kept.replayed.get() > 50, "results were given again");
+        assertEquals(0, kept.tally.runTwice());
+        assertEquals(0, kept.tally.refusedAfterRun());
+        assertEquals(0, kept.tally.otherBytes());
+        assertEquals(0, kept.tally.failedAfterResult());
+        assertTrue(kept.tally.again() > 50, "results were given again");
         ProveResults.Seen without = ProveResults.play(false, 0, 5, SEED, System.out);
         System.out.println("not kept: " + without);
-        assertTrue(without.doubleRuns > 0, "without the store the proof must find double runs");
+        assertTrue(without.tally.runTwice() > 0, "without the store the proof must find double runs");
     }
 }
--- a/src/test/java/wharftrestle/version/VersionTest.java
+++ b/src/test/java/wharftrestle/version/VersionTest.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import wharftrestle.Sites;
 import wharftrestle.net.Config;
 import wharftrestle.policy.Admission;
 
@@ -46,7 +47,7 @@
 
     @Test
     void everySettingTellsTwoVersionsApartAndNoAddressOrSeedDoes() throws Exception {
-        Admission.Settings plain = wharftrestle.VersionSites.settings();
+        Admission.Settings plain = Sites.site().build();
         Config.Appliance none = Config.Appliance.none();
         String before = canonical(plain, 1000, none);
         assertEquals(before, canonical(plain, 2000, none));
