Let a former owner that stood still fail what it cannot know, where the other is then killed

Observed 2026-12-02, SleeperTest: the process that handed over is stopped, the link to it fills, the new one waits a second for each run's word and begins it all the same; it is killed, the old one goes on, and three of three such keys run a second time. Lines: Succession.takeBack, which took all that was heard for all that ran.

Change: handover.Standstill decides, by the gaps between looks every 0.1 s, whether this process stood still within the last second; if so, and nothing is on disk, keys it does not know fail for a window once it takes its keys back. Ruled out: waiting for the word for ever (a stopped process would stop its box); counting bytes in the socket (buffers are booked by the kernel's own reckoning, not by what is in them).

Tests: StandstillTest; SleeperTest with real processes, which fails without the change.

--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -322,6 +322,11 @@
         return false;
     }
 
+    @Override
+    public boolean keepsRecords() {
+        return journal != null;
+    }
+
     @Override
     public void closeRecords() {
         if (journal != null) {
--- a/src/main/java/wharftrestle/Succession.java
+++ b/src/main/java/wharftrestle/Succession.java
@@ -12,6 +12,7 @@
 import wharftrestle.handover.HandOver.Event;
 import wharftrestle.handover.HandOver.State;
 import wharftrestle.handover.HandOver;
+import wharftrestle.handover.Standstill;
 import wharftrestle.handover.Terms;
 import wharftrestle.net.BoxLink.Word;
 import wharftrestle.net.BoxLink;
@@ -46,6 +47,9 @@
         /** Takes the folder of kept results; false where it cannot be had. */
         boolean openRecords(int tries);
 
+        /** True where what ran is known from a disk, whoever ended. */
+        boolean keepsRecords();
+
         /** Gives the folder back, once what waits for it is written or has waited long enough. */
         void closeRecords();
 
@@ -86,7 +90,8 @@
     private String nextRange;
     private String reason = "";       // of the last no
     private boolean refusedBefore;    // what is known could not be carried
-    private boolean closed;
+    private volatile boolean closed;
+    private volatile Standstill standstill;    // since this process handed over; null where it has not
     private boolean lostHeir;         // the one that took over has died, and this process leaves
     private int told;                 // settled keys
     private int given;                // open keys
@@ -389,6 +394,9 @@
         box.halve(true);
         int open = partner.handOver(to);
         box.closeRecords();   // only the owner of the keys writes, and it reads what is on disk by now
+        Standstill mine = new Standstill(seconds());
+        standstill = mine;
+        Core.thread("box-awake", () -> lookFor(mine)).start();
         return open;
     }
 
@@ -407,7 +415,36 @@
         take(opened ? Event.OPENED : Event.UNOPENED);
     }
 
+    private static double seconds() {
+        return System.nanoTime() / 1e9;
+    }
+
+    /** Not under this lock, which may be held for longer than a look. */
+    private void lookFor(Standstill mine) {
+        while (standstill == mine && !closed) {
+            synchronized (mine) {
+                mine.look(seconds());
+            }
+            LockSupport.parkNanos((long) (Standstill.LOOK * 1e9));
+        }
+    }
+
+    private boolean stoodStill() {
+        Standstill mine = standstill;
+        if (mine == null) {
+            return false;
+        }
+        synchronized (mine) {
+            return mine.lately(seconds());
+        }
+    }
+
     private void takeBack() {
+        if (stoodStill() && !box.keepsRecords()) {
+            // Guards against a second run of a key whose word the other one could not write while this process stood still.
+            box.unknownFail();
+        }
+        standstill = null;
         box.openRecords(TRIES_AFTER_DEATH);
         partner.otherGone();
         box.halve(false);
