Decide a rolling change apart from I/O: plan, stages, who may steer, contact, and the judge

Package fleet holds the decisions of docs/design/roll.md: Plan, Roll, Fence and Steering, Members, Judge over Drift. lab.virtual plays boxes with the shipped policy in virtual time, so that the judge is held against a known truth.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Shortcuts; 'mvn -B verify' is what counts.
-.PHONY: build deployed test lint run prove-results prove-memory prove-change bench-change bench-builds bench-results bench-memory measure-candidates
+.PHONY: build deployed test lint run prove-results prove-memory prove-change prove-judge bench-change bench-builds bench-results bench-memory measure-candidates
 
 build:
 	mvn -q -B -DskipTests package
@@ -37,6 +37,10 @@
 prove-change: build target/classpath
 	java -cp $(CLASSES) wharftrestle.prove.ProveChange $(SEED)
 
+# Rolls of a fleet in virtual time, with releases that are no worse and with bad ones; SHORT=1 and SEED=N as above.
+prove-judge: build target/classpath
+	java -cp $(CLASSES) wharftrestle.prove.ProveJudge $(SEED)
+
 # Answers by the second with no change, with one, and with the way back.
 bench-change: build target/classpath
 	java -cp $(CLASSES) wharftrestle.prove.BenchChange $(SEED)
--- a/src/test/java/wharftrestle/BordersTest.java
+++ b/src/test/java/wharftrestle/BordersTest.java
@@ -11,7 +11,7 @@
 @AnalyzeClasses(packages = "wharftrestle", importOptions = ImportOption.DoNotIncludeTests.class)
 class BordersTest {
     private static final String[] DECISIONS = {"wharftrestle.policy..", "wharftrestle.keys..",
-        "wharftrestle.handover.."};
+        "wharftrestle.handover..", "wharftrestle.fleet..", "wharftrestle.lab.virtual.."};
 
     @ArchTest
     static final ArchRule decisionsTouchNoOutsideWorld = noClasses().that().resideInAnyPackage(DECISIONS)
@@ -41,9 +41,11 @@
 
     @ArchTest
     static final ArchRule theServingPathKnowsNoRigAndNoKeeper = noClasses().that()
-            .resideOutsideOfPackages("wharftrestle.lab..", "wharftrestle.box..")
+            .resideOutsideOfPackages("wharftrestle.lab..", "wharftrestle.box..", "wharftrestle.fleet..",
+                    "wharftrestle.drive..")
             .and().doNotHaveSimpleName("Main")
-            .should().dependOnClassesThat().resideInAnyPackage("wharftrestle.lab..", "wharftrestle.box..");
+            .should().dependOnClassesThat().resideInAnyPackage("wharftrestle.lab..", "wharftrestle.box..",
+                    "wharftrestle.fleet..", "wharftrestle.drive..");
 
     @ArchTest
     static final ArchRule theKeeperDecidesWithoutIo = noClasses().that().haveFullyQualifiedName("wharftrestle.box.Keeper")
