Tell a keeper all it looks at in one call, results after their aim, and where a change of the fleet stands

Need: a keeper made three calls at its daemon's door every 100 ms, and none says what is late by class; a rolling change compares just that.

Change: GET /_figures (ready, phase, hand-over, build, settings, store calls, answers by class with those after their aim); POST /_fleet, and the same in status and in the MIB (wtFleet). Results after their aim are counted where an answer is fixed: one look at the clocks each.

--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.BindException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -23,6 +24,7 @@
 import wharftrestle.net.StoreClient;
 import wharftrestle.ops.Counters;
 import wharftrestle.ops.Door;
+import wharftrestle.ops.FleetStand;
 import wharftrestle.ops.ResultFigure;
 import wharftrestle.ops.SnmpAgent;
 import wharftrestle.policy.Admission;
@@ -122,6 +124,7 @@
     private final int mostGateways;
     private final Succession succession;
     private final Version version;
+    private volatile FleetStand fleet = FleetStand.NONE;
     private volatile boolean closed;
     private final long startedAt = System.nanoTime();
 
@@ -406,6 +409,21 @@
         return succession.state().name().toLowerCase(Locale.ROOT) + (why.isEmpty() ? "" : ": " + why);
     }
 
+    @Override
+    public List<Admission.RequestClass> classes() {
+        return config.settings().classes();
+    }
+
+    @Override
+    public FleetStand fleet() {
+        return fleet;
+    }
+
+    @Override
+    public void fleet(FleetStand said) {
+        fleet = said;
+    }
+
     @Override
     public Counters counters() {
         return counters;
--- a/src/main/java/wharftrestle/core/Core.java
+++ b/src/main/java/wharftrestle/core/Core.java
@@ -604,6 +604,11 @@
                 case REFUSED -> Result.DECLINED;
                 case FAILED, LATE, CONFLICT -> Result.ABORTED;
             });
+            Admission.RequestClass type = settings.classes().get(task.arrival.classIndex());
+            double aim = type.aim() + type.aimStretch() * task.arrival.cost();
+            if (answer.kind() == Answer.Kind.SERVED && lay(task.arrival) > aim) {
+                counters.late(task.arrival.classIndex());
+            }
             markAnswered(task);
             step(task, new Task.Step(Task.Kind.ANSWER, null, 0, answer));
         }
--- a/src/main/java/wharftrestle/ops/Counters.java
+++ b/src/main/java/wharftrestle/ops/Counters.java
@@ -70,6 +70,7 @@
     private final List<String> classes;
     private final LongAdder[] adders = new LongAdder[Count.values().length];
     private final LongAdder[][] results;
+    private final LongAdder[] late;
     private final AtomicInteger outstanding = new AtomicInteger();
     private volatile Kept kept = new Kept(0, 0, 0, 0);
 
@@ -81,6 +82,8 @@
             fill(cells);
         }
         fill(adders);
+        late = new LongAdder[classes.size()];
+        fill(late);
     }
 
     private static void fill(LongAdder[] cells) {
@@ -110,6 +113,16 @@
         add(result.total);
     }
 
+    /** The result that is its answer comes after its aim. */
+    public void late(int classIndex) {
+        late[classIndex].increment();
+    }
+
+    /** Results of a class that came after its aim. */
+    public long lateOnes(int classIndex) {
+        return late[classIndex].sum();
+    }
+
     /** Its caller is gone before that. */
     public void gone() {
         outstanding.decrementAndGet();
--- a/src/main/java/wharftrestle/ops/Door.java
+++ b/src/main/java/wharftrestle/ops/Door.java
@@ -5,12 +5,14 @@
 import java.io.InputStream;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.function.Supplier;
+import java.util.function.Function;
 import wharftrestle.net.Bytes;
-import wharftrestle.net.Server;
 import wharftrestle.net.Server.MalformedException;
+import wharftrestle.net.Server;
+import wharftrestle.policy.Admission;
 import wharftrestle.version.Version;
 
 /**
@@ -50,6 +52,14 @@
         /** How far the hand-over between the processes of this box is, and why it waits where it does. */
         String handover();
 
+        /** The classes of requests, in the order of the settings. */
+        List<Admission.RequestClass> classes();
+
+        /** Where a rolling change of the fleet stands, as the keeper said last. */
+        FleetStand fleet();
+
+        void fleet(FleetStand said);
+
         /** Sends callers away, or takes them again; false where the daemon leaves for good. */
         boolean lameDuck(boolean on);
 
@@ -76,30 +86,36 @@
         }
     }
 
-    /** What is done at one path, and by which method. */
-    private record Call(String method, Supplier<Answer> act) { }
+    /** What is done at one path, and by which method; told what stands behind the question mark, empty for nothing. */
+    private record Call(String method, Function<String, Answer> act) { }
 
     private final Daemon daemon;
     private final Map<String, Call> calls;
 
     public Door(Daemon daemon) {
         this.daemon = daemon;
-        calls = Map.of(
-                "/_ready", new Call("GET", () -> daemon.ready() ? Answer.ok("yes\n")
+        calls = Map.ofEntries(
+                call("/_ready", "GET", query -> daemon.ready() ? Answer.ok("yes\n")
                         : new Answer("503 Service Unavailable", "", "no: " + daemon.phase() + "\n")),
-                "/_vars", new Call("GET", () -> Answer.ok(daemon.counters().figures())),
-                "/_status", new Call("GET", () -> Answer.ok(status())),
-                "/_version", new Call("GET", () -> Answer.ok(daemon.version().table())),
-                "/_results", new Call("GET", () -> Answer.ok(results())),
-                "/_counters", new Call("GET", () -> Answer.ok(daemon.counters().table())),
-                "/_lameduck/on", new Call("POST", () -> lameDuck(true)),
-                "/_lameduck/off", new Call("POST", () -> lameDuck(false)),
-                "/_drain", new Call("POST", () -> {
+                call("/_vars", "GET", query -> Answer.ok(daemon.counters().figures())),
+                call("/_status", "GET", query -> Answer.ok(status())),
+                call("/_version", "GET", query -> Answer.ok(daemon.version().table())),
+                call("/_results", "GET", query -> Answer.ok(results())),
+                call("/_counters", "GET", query -> Answer.ok(daemon.counters().table())),
+                call("/_figures", "GET", query -> Answer.ok(figures())),
+                call("/_fleet", "POST", this::fleet),
+                call("/_lameduck/on", "POST", query -> lameDuck(true)),
+                call("/_lameduck/off", "POST", query -> lameDuck(false)),
+                call("/_drain", "POST", query -> {
                     daemon.leave();
                     return new Answer("202 Accepted", "", "leaving: what is in hand is answered, then the program ends\n");
                 }));
     }
 
+    private static Map.Entry<String, Call> call(String path, String method, Function<String, Answer> act) {
+        return Map.entry(path, new Call(method, act));
+    }
+
     @Override
     public void serve(Server.Connection connection) throws IOException {
         connection.readUntil(connection.openedAt() + CALL_MS * 1_000_000L);
@@ -173,7 +189,40 @@
             return new Answer("405 Method Not Allowed", "Allow: " + (call.method().equals("GET") ? "GET, HEAD" : "POST")
                     + "\r\n", "method not allowed\n");
         }
-        return call.act().get();
+        return call.act().apply(query < 0 ? "" : target.substring(query + 1));
+    }
+
+    /**
+     * All that a keeper looks at, in one call: a line a part, {@code name value}; a class's name stands last on its line.
+     */
+    private String figures() {
+        Counters counters = daemon.counters();
+        StringBuilder lines = new StringBuilder();
+        lines.append("ready ").append(daemon.ready() ? "yes" : "no").append("\nphase ").append(daemon.phase())
+                .append("\nhandover ").append(daemon.handover()).append("\nbuild ").append(daemon.version().build())
+                .append("\nsettings ").append(daemon.version().settings())
+                .append(String.format(Locale.ROOT, "%nup %.3f%ncalls %d %d%n", daemon.upSeconds(),
+                        counters.get(Counters.Count.CALLS_GOOD) + counters.get(Counters.Count.CALLS_OTHER),
+                        counters.get(Counters.Count.CALLS_OTHER)));
+        List<Admission.RequestClass> classes = daemon.classes();
+        for (int i = 0; i < classes.size(); i++) {
+            long served = counters.get(i, Counters.Result.SUCCEEDED);
+            long refused = counters.get(i, Counters.Result.DECLINED);
+            long failed = counters.get(i, Counters.Result.ABORTED);
+            lines.append(String.format(Locale.ROOT, "class %d %d %d %d %d %s %s %s%n", served + refused + failed, served,
+                    counters.lateOnes(i), refused, failed, classes.get(i).worth(), classes.get(i).lateWorth(),
+                    classes.get(i).name()));
+        }
+        return lines.toString();
+    }
+
+    private Answer fleet(String query) {
+        FleetStand said = FleetStand.read(query);
+        if (said == null) {
+            return new Answer("400 Bad Request", "", "expected epoch=N&stage=N&verdict=WORD\n");
+        }
+        daemon.fleet(said);
+        return Answer.ok(said.line() + "\n");
     }
 
     private Answer lameDuck(boolean on) {
@@ -235,9 +284,9 @@
         Counters counters = daemon.counters();
         return String.format(Locale.ROOT, "name          %s%nstate         %s%nup            %.0f s%n"
                 + "worker pool   %s%nhealth        %s%nin hand       %d requests%nkept          %s%n"
-                + "results       %s%nversion       %s%nhand-over     %s%n",
+                + "results       %s%nversion       %s%nhand-over     %s%nfleet         %s%n",
                 daemon.name(), daemon.phase(), daemon.upSeconds(), daemon.linked() ? "linked" : "not linked",
                 daemon.healthy() ? "good" : "bad", counters.outstanding(), keptLine(counters), resultsLine(),
-                daemon.version().line(), daemon.handover());
+                daemon.version().line(), daemon.handover(), daemon.fleet().line());
     }
 }
--- a/src/main/java/wharftrestle/ops/SnmpAgent.java
+++ b/src/main/java/wharftrestle/ops/SnmpAgent.java
@@ -7,14 +7,14 @@
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.TreeMap;
-import org.snmp4j.CommandResponderEvent;
 import org.snmp4j.CommandResponder;
+import org.snmp4j.CommandResponderEvent;
+import org.snmp4j.MessageDispatcherImpl;
 import org.snmp4j.MessageException;
 import org.snmp4j.PDU;
 import org.snmp4j.Snmp;
 import org.snmp4j.mp.MPv2c;
 import org.snmp4j.mp.StatusInformation;
-import org.snmp4j.MessageDispatcherImpl;
 import org.snmp4j.smi.Address;
 import org.snmp4j.smi.Counter64;
 import org.snmp4j.smi.Gauge32;
@@ -98,6 +98,10 @@
             put(objects, below(ROOT, 1, 5), ++part, text(said));
         }
         put(objects, below(ROOT, 1, 5), ++part, text(daemon.handover()));
+        FleetStand fleet = daemon.fleet();
+        put(objects, below(ROOT, 1, 6), 1, new Counter64(fleet.epoch()));
+        put(objects, below(ROOT, 1, 6), 2, new Gauge32(fleet.stage()));
+        put(objects, below(ROOT, 1, 6), 3, text(fleet.verdict()));
         OID row = below(ROOT, 1, 3, 1);
         for (int i = 0; i < counters.classes().size(); i++) {
             objects.put(below(row, 2, i + 1), text(counters.classes().get(i)));
