--- a/src/test/java/wharftrestle/prove/ProveJudge.java
+++ b/src/test/java/wharftrestle/prove/ProveJudge.java
@@ -91,9 +91,9 @@
                 && row.release() != Release.MIXED).mapToDouble(row -> (double) row.through() / each).max().orElse(1);
         boolean holds = wrong < MOST_WRONG && least >= LEAST_STOPPED && through < MOST_WRONG;
         out.printf(Locale.ROOT, "prove-judge: %s, %d rolls: a release that is no worse is stopped in %.1f%% at most (a "
-                + "plain comparison: %.1f%%), one that loses 3%% or more by a quarter of the fleet in %.1f%% at "
-                + "least, and goes everywhere in %.1f%% at most%n", holds ? "holds" : "falls short", rows.size() * each, 100 * wrong,
-                100 * plainWrong, 100 * least, 100 * through);
+                + "plain comparison: %.1f%%), one that loses 3%% or more by a quarter of the fleet in %.1f%% at least, "
+                + "and goes everywhere in %.1f%% at most%n", holds ? "holds" : "falls short", rows.size() * each,
+                100 * wrong, 100 * plainWrong, 100 * least, 100 * through);
         return holds;
     }
 
