--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Shortcuts; 'mvn -B verify' is what counts.
-.PHONY: build deployed test lint run prove-results prove-memory prove-change prove-judge bench-change bench-builds bench-results bench-memory measure-candidates
+.PHONY: build deployed test lint run prove-results prove-memory prove-change prove-judge prove-roll bench-change bench-builds bench-results bench-memory measure-candidates
 
 build:
 	mvn -q -B -DskipTests package
@@ -41,6 +41,10 @@
 prove-judge: build target/classpath
 	java -cp $(CLASSES) wharftrestle.prove.ProveJudge $(SEED)
 
+# Rolling changes of 14 real boxes, good and bad, with faults between processes; SHORT=1 and SEED=N as above.
+prove-roll: build target/classpath
+	java -cp $(CLASSES) wharftrestle.prove.ProveRoll $(SEED)
+
 # Answers by the second with no change, with one, and with the way back.
 bench-change: build target/classpath
 	java -cp $(CLASSES) wharftrestle.prove.BenchChange $(SEED)
--- a/src/main/java/wharftrestle/Main.java
+++ b/src/main/java/wharftrestle/Main.java
@@ -10,21 +10,22 @@
 import java.util.concurrent.Callable;
 import org.tinylog.Logger;
 import org.tinylog.provider.ProviderRegistry;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import picocli.CommandLine;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
 import wharftrestle.box.BoxCommand;
+import wharftrestle.drive.FleetCommand;
 import wharftrestle.durable.ResultsFolder;
 import wharftrestle.durable.UnusableException;
 import wharftrestle.lab.LabCommand;
 import wharftrestle.net.Config;
 import wharftrestle.ops.Console;
+import wharftrestle.policy.GroupEdfScheduler;
 import wharftrestle.settings.BadSettingsException;
 import wharftrestle.settings.Settings;
 import wharftrestle.version.Build;
-import wharftrestle.policy.GroupEdfScheduler;
 import wharftrestle.wire.WireAdapter;
 
 /**
@@ -50,7 +51,7 @@
         if (args.length == 0 || !AT_WORK.contains(args[0])) {
             // The daemon's start pays for every command that picocli is told of: operators' tools are left out there.
             line.addSubcommand(new SettingsOf()).addSubcommand(new Results()).addSubcommand(new BoxCommand())
-                    .addSubcommand(new LabCommand());
+                    .addSubcommand(new FleetCommand()).addSubcommand(new LabCommand());
         }
         line.setParameterExceptionHandler((e, given) -> complain(e.getMessage()));
         line.setExecutionExceptionHandler((e, command, parsed) -> {
@@ -84,7 +85,7 @@
     @Override
     public void run() {
         throw new CommandLine.ParameterException(spec.commandLine(),
-                "name a command: serve, console, settings, results, box, lab, adapter or version");
+                "name a command: serve, console, settings, results, box, fleet, lab, adapter or version");
     }
 
     /** The daemon. */
--- a/src/main/java/wharftrestle/box/BoxCommand.java
+++ b/src/main/java/wharftrestle/box/BoxCommand.java
@@ -6,10 +6,10 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.Callable;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
+import picocli.CommandLine;
 import wharftrestle.net.Config;
 import wharftrestle.settings.Settings;
 
@@ -43,6 +43,13 @@
                 defaultValue = "java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx40m -Xss192k")
         private String java;
 
+        @Option(names = "--fleet", paramLabel = "HOST:PORT",
+                description = "where a driver of the fleet may call; default: nowhere")
+        private String fleet;
+
+        @Option(names = "--name", paramLabel = "BOX", description = "the box's name within the fleet", defaultValue = "")
+        private String name;
+
         @Parameters(paramLabel = "RELEASE", arity = "0..1", description = "to start where nothing runs; default: the last")
         private String first;
 
@@ -55,7 +62,8 @@
             Settings set = settings == null ? Settings.none() : Settings.read(settings);
             List<String> command = new ArrayList<>(Arrays.asList(java.trim().split(" +")));
             BoxKeeper.Places places = new BoxKeeper.Places(state.toAbsolutePath(), releases.toAbsolutePath(),
-                    Path.of(config).toAbsolutePath(), command);
+                    Path.of(config).toAbsolutePath(), command, name,
+                    fleet == null ? null : Config.address("--fleet", fleet));
             try (BoxKeeper keeper = new BoxKeeper(places, limits(set), System.out)) {
                 Runtime.getRuntime().addShutdownHook(new Thread(keeper::stop));
                 keeper.run(first);
--- a/src/main/java/wharftrestle/box/BoxKeeper.java
+++ b/src/main/java/wharftrestle/box/BoxKeeper.java
@@ -1,23 +1,13 @@
 package wharftrestle.box;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.BufferedReader;
 import java.io.Closeable;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.PrintStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.net.StandardProtocolFamily;
-import java.net.UnixDomainSocketAddress;
-import java.nio.ByteBuffer;
-import java.nio.channels.Channels;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
-import java.nio.channels.ServerSocketChannel;
-import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -51,8 +41,15 @@
      * @param releases all releases
      * @param config   the daemon's configuration
      * @param java     command and options before -jar
+     * @param name     of the box within its fleet; empty for none
+     * @param fleet    where a driver of the fleet may call; null for nowhere
      */
-    public record Places(Path state, Path releases, Path config, List<String> java) { }
+    public record Places(Path state, Path releases, Path config, List<String> java, String name, InetSocketAddress fleet) {
+        /** A box of no fleet. */
+        public Places(Path state, Path releases, Path config, List<String> java) {
+            this(state, releases, config, java, "", null);
+        }
+    }
 
     /** The folder is another keeper's. */
     public static final class TakenException extends Exception {
@@ -69,12 +66,10 @@
 
     /** Milliseconds between two looks at the daemons. */
     private static final long LOOK_MS = 100;
-    private static final int DOOR_MS = 1000;
-    private static final int LONGEST_ORDER = 200;
+    /** Seconds in which a release's program reads a settings file. */
+    private static final long CHECK_S = 20;
     private static final String GONE = "no the keeper goes";
     private static final String SOCKET = "keeper.sock";
-    /** What the door's figures of answers end with: served, refused, failed. */
-    private static final String[] FIGURES = {"succeeded", "declined", "aborted"};
 
     private final Places places;
     private final Releases releases;
@@ -86,7 +81,14 @@
     private final BlockingQueue<Order> orders = new LinkedBlockingQueue<>();
     private final PrintStream out;
     private final Consumer<StepLog.Entry> before;
-    private ServerSocketChannel socket;
+    private OrderSocket socket;
+    private FleetDoor fleet;                                      // null where no driver may call
+    private final Map<String, Integer> deaths = new LinkedHashMap<>();   // by release
+    private final Map<Keeper.Role, DaemonLook> looks = new EnumMap<>(Keeper.Role.class);
+    private String told = "";                                     // the release that a driver told last
+    private int attempt;                                          // how often, in its epoch
+    private String refusal = "";                                  // why that was not begun
+    private volatile Map<String, Object> shown = Map.of();
     private int logs;
     private volatile boolean over;
 
@@ -125,7 +127,11 @@
 
     /** Keeps the box until {@link #stop}: adopts what runs, else starts this release, or the last one where it is null. */
     public void run(String first) throws IOException, InterruptedException {
-        listen();
+        socket = new OrderSocket(places.state().resolve(SOCKET), this::askLoop);
+        if (places.fleet() != null) {
+            fleet = new FleetDoor(places.fleet(), places.name(), places.state(), releases, this::askLoop, () -> shown,
+                    this::reads);
+        }
         findStarted();
         Found found = Found.of(journal.entries(), step -> handle(step).isPresent());
         for (StepLog.Entry each : found.end()) {
@@ -214,56 +220,24 @@
 
     // ---- Orders ----
 
-    private void listen() throws IOException {
-        Path at = places.state().resolve(SOCKET);
-        Files.deleteIfExists(at);
-        socket = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
-        socket.bind(UnixDomainSocketAddress.of(at));
-        Thread listener = new Thread(() -> {
-            try {
-                for (;;) {
-                    SocketChannel caller = socket.accept();
-                    Thread serves = new Thread(() -> serve(caller), "order");
-                    serves.setDaemon(true);
-                    serves.start();
-                }
-            } catch (IOException closed) {
-                return;
-            }
-        }, "orders");
-        listener.setDaemon(true);
-        listener.start();
-    }
-
-    private void serve(SocketChannel caller) {
-        try (caller) {
-            BufferedReader in = new BufferedReader(new InputStreamReader(Channels.newInputStream(caller),
-                    StandardCharsets.UTF_8));
-            String line = in.readLine();
-            if (line != null && line.length() <= LONGEST_ORDER) {
-                Order order = new Order(line, new LinkedBlockingQueue<>());
-                orders.add(order);
-                if (over) {
-                    order.answer().add(GONE);
-                }
-                caller.write(ByteBuffer.wrap((order.answer().take() + "\n").getBytes(StandardCharsets.UTF_8)));
-            }
-        } catch (IOException e) {
-            Logger.debug("order: {}", e.toString());
+    /** Has the keeper's own thread obey an order, and waits for its answer. */
+    private String askLoop(String text) {
+        Order order = new Order(text, new LinkedBlockingQueue<>());
+        orders.add(order);
+        if (over) {
+            order.answer().add(GONE);
+        }
+        try {
+            return order.answer().take();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+            return GONE;
         }
     }
 
     /** Sends one order to the keeper of this folder; its answer, or null where none keeps it. */
     public static String order(Path state, String text) {
-        try (SocketChannel channel = SocketChannel.open(UnixDomainSocketAddress.of(state.resolve(SOCKET)))) {
-            channel.write(ByteBuffer.wrap((text + "\n").getBytes(StandardCharsets.UTF_8)));
-            return new BufferedReader(new InputStreamReader(Channels.newInputStream(channel), StandardCharsets.UTF_8))
-                    .readLine();
-        } catch (IOException none) {
-            return null;
-        }
+        return OrderSocket.order(state.resolve(SOCKET), text);
     }
 
     /** Answers begin with "ok" or "no". */
@@ -293,12 +267,49 @@
                 carryOut(acts);
                 return acts.isEmpty() ? "no there is nothing to go back to" : "ok going back";
             }
+            case "stand" -> {
+                tellStand(words[1]);
+                return "ok";
+            }
+            case "go" -> {
+                String[] order = words[1].split(" ");
+                attempt = Integer.parseInt(order[0]);
+                told = order[1];
+                String answer = go(told);
+                refusal = answer.startsWith("no ") ? answer.substring(3) : "";
+                show();
+                return answer;
+            }
             default -> {
                 return "no such order: " + words[0];
             }
         }
     }
 
+    /** A driver's word: this release is to serve, from wherever this box is. */
+    private String go(String to) throws IOException {
+        boolean coming = !keeper.candidate().isEmpty();
+        if (coming ? keeper.candidate().equals(to) : keeper.release().equals(to)) {
+            return "ok " + to + (coming ? " comes already" : " serves already");
+        }
+        String against = releases.against(to);
+        if (!against.isEmpty()) {
+            return "no " + against;
+        }
+        boolean undoes = keeper.state() == Keeper.State.CHANGING && keeper.release().equals(to)
+                || keeper.state() == Keeper.State.PROBATION && keeper.good().equals(to);
+        if (undoes) {
+            carryOut(keeper.back(now()));
+            return "ok going back to " + to;
+        }
+        against = keeper.against(to);
+        if (!against.isEmpty()) {
+            return "no " + against;
+        }
+        carryOut(keeper.change(to, now()));
+        return "ok changing to " + to;
+    }
+
     private String status() throws IOException {
         Map<String, Object> all = new LinkedHashMap<>();
         all.put("state", keeper.state().name().toLowerCase(Locale.ROOT));
@@ -306,14 +317,15 @@
         all.put("candidate", keeper.candidate());
         all.put("back_to", keeper.good());
         all.put("reason", keeper.reason());
-        running.forEach((role, each) -> all.put(role.name().toLowerCase(Locale.ROOT),
-                Map.of("pid", each.pid(), "release", each.release(), "door", each.door(), "ready", ready(each))));
+        running.forEach((role, each) -> all.put(role.name().toLowerCase(Locale.ROOT), Map.of("pid", each.pid(), "release",
+                each.release(), "door", each.door(), "ready", DaemonLook.at(each.door()).ready())));
         return "ok " + new ObjectMapper().writeValueAsString(all);
     }
 
     // ---- The daemons ----
 
     private void look() throws IOException {
+        looks.clear();
         for (Keeper.Role role : List.copyOf(running.keySet())) {
             Running each = running.get(role);
             if (each == null) {
@@ -321,67 +333,102 @@
             }
             if (!each.handle().isAlive()) {
                 running.remove(role);
+                deaths.merge(each.release(), 1, Integer::sum);
                 say("ended", role, each.release(), each.pid(), each.began(), each.door(), "by itself");
                 carryOut(keeper.died(role, now()));
-            } else if (keeper.state() != Keeper.State.SERVING && keeper.state() != Keeper.State.PROBATION && ready(each)) {
+                continue;
+            }
+            DaemonLook look = DaemonLook.at(each.door());
+            looks.put(role, look);
+            if (keeper.state() != Keeper.State.SERVING && keeper.state() != Keeper.State.PROBATION && look.ready()) {
                 carryOut(keeper.ready(role, now()));
-            } else if (role == Keeper.Role.COMES) {
-                String refusal = refusal(each);
-                if (!refusal.isEmpty()) {
-                    carryOut(keeper.refused(role, refusal, now()));
-                }
+            } else if (role == Keeper.Role.COMES && !look.refusal().isEmpty()) {
+                carryOut(keeper.refused(role, look.refusal(), now()));
             }
         }
         ending.removeIf(each -> !each.handle().isAlive());
-        Running serves = running.get(Keeper.Role.SERVES);
-        carryOut(keeper.tick(serves == null ? null : figures(serves), now()));
+        DaemonLook serves = running.containsKey(Keeper.Role.SERVES) ? looks.get(Keeper.Role.SERVES) : null;
+        carryOut(keeper.tick(serves == null ? null : serves.figures(), now()));
+        if (fleet != null) {
+            show();
+        }
     }
 
-    private static String get(Running of, String path) throws IOException {
-        try (Socket call = new Socket()) {
-            call.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), of.door()), DOOR_MS);
-            call.setSoTimeout(DOOR_MS);
-            call.getOutputStream().write(("GET " + path + " HTTP/1.1\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
-            return new String(call.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    /** What a driver of the fleet is shown: made here, so that no call of a driver waits for a daemon that is silent. */
+    private void show() {
+        Running serves = running.get(Keeper.Role.SERVES);
+        DaemonLook look = serves == null ? null : looks.get(Keeper.Role.SERVES);
+        boolean settled = keeper.state() == Keeper.State.SERVING || keeper.state() == Keeper.State.PROBATION;
+        boolean missed = keeper.state() == Keeper.State.SERVING && !told.isEmpty() && !told.equals(keeper.release());
+        Map<String, Object> all = new LinkedHashMap<>();
+        all.put("state", keeper.state().name().toLowerCase(Locale.ROOT));
+        all.put("release", keeper.release());
+        all.put("settled", settled && look != null && look.ready());
+        all.put("acts", serves == null || look == null ? "" : acts(serves, look));
+        all.put("told", told);
+        all.put("attempt", attempt);
+        all.put("failed", !refusal.isEmpty() ? refusal : !missed ? "" : keeper.reason().isEmpty() ? "it did not go"
+                : keeper.reason());
+        all.put("deaths", new LinkedHashMap<>(deaths));
+        all.put("good", keeper.good());
+        if (serves != null && look != null) {
+            all.put("pid", serves.pid());
+            all.put("up", look.up());
+            all.put("calls", look.calls());
+            all.put("badCalls", look.badCalls());
+            all.put("classes", look.classes());
+            try {
+                all.put("cpu", Proc.cpuSeconds(serves.pid()));
+                all.put("ownMb", Proc.memoryKb(serves.pid(), "RssAnon") / 1024.0);
+            } catch (IOException gone) {
+                Logger.debug("{} has just ended", serves.pid());
+            }
         }
+        shown = all;
     }
 
-    private static boolean ready(Running of) {
+    /**
+     * The release that a daemon is, by the digest that it says of itself: where that is not the one it was started from, the
+     * one that has it; empty where none has.
+     */
+    private String acts(Running serves, DaemonLook look) {
+        if (look.build().isEmpty() || look.build().equals(releases.build(serves.release()))) {
+            return look.build().isEmpty() ? "" : serves.release();
+        }
         try {
-            return get(of, "/_ready").startsWith("HTTP/1.1 200 ");
-        } catch (IOException silent) {
-            return false;
+            return releases.names().stream().filter(name -> releases.build(name).equals(look.build()))
+                    .findFirst().orElse("");
+        } catch (IOException unread) {
+            return "";
         }
     }
 
-    /** Why it cannot take over; empty where it can, or does not say. */
-    private static String refusal(Running of) {
+    /** Asks the program of one release whether it can read the settings of another. */
+    private boolean reads(String program, String settings) {
+        List<String> command = new ArrayList<>(places.java());
+        command.addAll(List.of("-jar", releases.of(program).resolve(Releases.JAR).toString(), "settings", "check",
+                releases.of(settings).resolve(Releases.SETTINGS).toString()));
         try {
-            for (String line : get(of, "/_status").split("\n")) {
-                if (line.startsWith("hand-over") && line.contains("refused")) {
-                    return line.substring(line.indexOf("refused")).trim();
-                }
-            }
-        } catch (IOException silent) {
-            return "";
+            Process check = new ProcessBuilder(command).redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+            return check.waitFor(CHECK_S, TimeUnit.SECONDS) && check.exitValue() == 0;
+        } catch (IOException e) {
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
         }
-        return "";
     }
 
-    private static Keeper.Figures figures(Running of) {
-        try {
-            long[] found = new long[3];
-            for (String line : get(of, "/_vars").split("\n")) {
-                String[] parts = line.trim().split("[:|]");
-                for (int i = 0; i < found.length && parts.length > 1 && parts[0].startsWith("daemon.results."); i++) {
-                    if (parts[0].endsWith("." + FIGURES[i])) {
-                        found[i] += Long.parseLong(parts[1]);   // of each class
-                    }
-                }
+    /** The daemon that serves is told where the fleet stands, for its door and its MIB. */
+    void tellStand(String query) {
+        Running serves = running.get(Keeper.Role.SERVES);
+        if (serves != null) {
+            try {
+                DaemonLook.get(serves.door(), "POST", "/_fleet?" + query);
+            } catch (IOException silent) {
+                Logger.debug("the daemon at {} does not answer", serves.door());
             }
-            return new Keeper.Figures(found[0], found[1], found[2]);
-        } catch (IOException | NumberFormatException silent) {
-            return null;
         }
     }
 
@@ -462,9 +509,11 @@
 
     @Override
     public void close() throws IOException {
+        if (fleet != null) {
+            fleet.close();
+        }
         if (socket != null) {
             socket.close();
-            Files.deleteIfExists(places.state().resolve(SOCKET));
         }
         journal.close();
         lockFile.close();
--- a/src/main/java/wharftrestle/box/Keeper.java
+++ b/src/main/java/wharftrestle/box/Keeper.java
@@ -178,6 +178,7 @@
     /** Changes to another release; only where nothing is {@link #against} it. */
     public List<Act> change(String to, double now) {
         candidate = to;
+        reason = "";
         enter(State.CHANGING, now);
         act(Act.Kind.START, Role.COMES, to, "change from " + release);
         return done();
--- a/src/main/java/wharftrestle/box/Releases.java
+++ b/src/main/java/wharftrestle/box/Releases.java
@@ -75,6 +75,24 @@
         }
     }
 
+    /** SHA-256 of a release's program as its list has it; empty where it has none. Reads the list alone. */
+    public String build(String name) {
+        return listed(name).getOrDefault(JAR, "");
+    }
+
+    /** SHA-256 of a release's own settings as its list has it; empty where it has none. */
+    public String settings(String name) {
+        return listed(name).getOrDefault(SETTINGS, "");
+    }
+
+    private Map<String, String> listed(String name) {
+        try {
+            return name.matches(NAME) ? read(of(name).resolve(SUMS)) : Map.of();
+        } catch (IOException none) {
+            return Map.of();
+        }
+    }
+
     private static Map<String, String> read(Path list) throws IOException {
         Map<String, String> sums = new LinkedHashMap<>();
         for (String line : Files.readAllLines(list)) {
--- a/src/main/java/wharftrestle/fleet/Fence.java
+++ b/src/main/java/wharftrestle/fleet/Fence.java
@@ -50,7 +50,7 @@
     public record Said(Answer answer, long stamp, Kept kept) { }
 
     /** Seconds for which a stamp holds, and an answer of a majority: a driver looks at all boxes several times meanwhile. */
-    public static final double LEASE = 3;
+    public static final double LEASE = 2;
 
     private final Store store;
     private final double lease;
@@ -75,6 +75,11 @@
         stampedAt = other.stampedAt;
     }
 
+    /** Seconds since the driver that has the epoch asked last; infinite where it has not since this keeper began. */
+    public double askedAgo(double now) {
+        return now - stampedAt;
+    }
+
     /** The last stamp given. */
     long stamp() {
         return stamp;
--- a/src/main/java/wharftrestle/fleet/Judge.java
+++ b/src/main/java/wharftrestle/fleet/Judge.java
@@ -41,6 +41,8 @@
     private static final double TOLERATED = 1.0 / 3;
     /** Part of all requests under which a class holds nobody up: it may still be worse. */
     private static final double SMALL_CLASS = 0.05;
+    /** Old boxes below which nobody knows by how much boxes differ. */
+    private static final int LEAST_OLD = 3;
     /** Requests of a box in a window under which the window says nothing of it. */
     private static final long LEAST_ASKED = 5;
     /** Deaths at one box that are a crash loop, over all stages. */
@@ -54,6 +56,7 @@
     private final Map<String, Drift> usual = new LinkedHashMap<>();     // by box and series: its difference when it was old
     private final Map<String, Series> series = new LinkedHashMap<>();
     private final Map<String, Integer> deaths = new LinkedHashMap<>();  // at each box that has the new release
+    private final Map<String, Integer> takenBack = new LinkedHashMap<>();
     private int newDeaths;
     private int oldDeaths;
     private double newTime;                  // windows of all new boxes
@@ -122,6 +125,13 @@
         }
     }
 
+    /** A box's keeper took the new release back by itself: once may be the box's own trouble, twice at one box is not. */
+    public void takenBack(String box, String why) {
+        if (takenBack.merge(box, 1, Integer::sum) >= LOOP) {
+            broken = box + " took it back by itself " + takenBack.get(box) + " times: " + why;
+        }
+    }
+
     /** Probability of so many of all deaths falling on the new boxes, by their share of the time (binomial tail). */
     private double accident() {
         int all = newDeaths + oldDeaths;
@@ -170,9 +180,15 @@
             Drift before = usual.computeIfAbsent(box.box() + " " + of.measure + "/" + of.about, key -> new Drift());
             if (!box.changed()) {
                 before.add(difference);
-            } else if (before.count() >= Drift.LEAST) {
-                sum += difference - before.mean();
-                variance += before.variance() / before.count();
+                continue;
+            }
+            // A driver that followed another one never saw what is usual of the boxes that had gone before: what the old
+            // ones differ by among themselves stands in for it.
+            boolean known = before.count() >= Drift.LEAST;
+            double spread = known ? before.variance() / before.count() : spread(of, old);
+            if (!Double.isNaN(spread)) {
+                sum += difference - (known ? before.mean() : 0);
+                variance += spread;
                 many++;
                 asked += asked(of, box);
             }
@@ -185,6 +201,21 @@
         return many > 0;
     }
 
+    /** Variance of what is usual, over the old boxes; NaN with too few of them. */
+    private double spread(Series of, List<Sample> old) {
+        int many = 0;
+        double squares = 0;
+        for (Sample box : old) {
+            Drift each = usual.get(box.box() + " " + of.measure + "/" + of.about);
+            if (each != null && each.count() >= Drift.LEAST) {
+                // The mean over them is nothing: each is held against the others.
+                squares += each.mean() * each.mean();
+                many++;
+            }
+        }
+        return many < LEAST_OLD ? Double.NaN : squares / (many - 1);
+    }
+
     private static long asked(Series of, Sample box) {
         return of.about.isEmpty() ? box.asked() : box.classes().stream().filter(each -> each.name().equals(of.about))
                 .mapToLong(Sample.Counts::asked).sum();
--- a/src/main/java/wharftrestle/fleet/Roll.java
+++ b/src/main/java/wharftrestle/fleet/Roll.java
@@ -82,6 +82,9 @@
         /** A stage begins: the judge begins anew. */
         record Stage(int stage) implements Act { }
 
+        /** A box's keeper undid its change by itself: it died, was not ready, or did worse than before there. */
+        record Undone(String box, String why) implements Act { }
+
         /** Its state changed; for the journal and people. */
         record Enter(State state, int stage, String why) implements Act { }
     }
@@ -100,10 +103,13 @@
     private final Map<String, String> from = new LinkedHashMap<>();    // by box, in the order in which they were told
     private final Map<String, Integer> tries = new LinkedHashMap<>();
     private final Map<String, Integer> told = new HashMap<>();         // orders in this epoch
+    private final Map<String, Integer> undone = new HashMap<>();       // attempts of it whose failure was seen
     private final Map<String, Double> orderedAt = new LinkedHashMap<>();
     private final Map<String, String> given = new HashMap<>();         // release last told by this driver in this epoch
     private final List<Act> acts = new ArrayList<>();
 
+    /** Boxes whose tries are spent, after which no further one is tried. */
+    private static final int MOST_FAILED = 2;
     /** Seconds after an order in which a box that shows nothing of it is away all the same. */
     static final double ORDER_AWAY = 10;
     /** The same for one that is out of contact since, where the plan goes on without those. */
@@ -227,6 +233,7 @@
 
     /** A new epoch was granted: what was told in the one before counts for nothing. */
     public void claimed() {
+        undone.clear();
         told.clear();   // what was told before may still be going on, so when it was told stands
     }
 
@@ -313,6 +320,14 @@
             begun = true;
             acts.add(new Act.Stage(stage));
         }
+        boxes.forEach((box, shows) -> {
+            boolean ours = shows.contact() && shows.settled() && plan.to().equals(shows.target())
+                    && !shows.failed().isEmpty();
+            if (ours && undone.getOrDefault(box, 0) < shows.attempt()) {
+                undone.put(box, shows.attempt());
+                acts.add(new Act.Undone(box, shows.failed()));
+            }
+        });
         if ((state == State.CHANGING || state == State.HOLDING) && verdict.word() == Judge.Word.WORSE) {
             if (plan.whenWorse() == Plan.WhenWorse.BACK) {
                 acts.addAll(back("stage " + (stage + 1) + " does worse: " + verdict.why(), now));
@@ -349,6 +364,7 @@
         Set<String> cut = cut(boxes);
         boolean waits = false;
         String stuck = "";
+        int failed = 0;
         for (Plan.Box box : plan.wanted(stage, gone(boxes))) {
             if (away.size() >= Math.min(plan.mostAway(), behind.size())) {
                 waits = true;
@@ -360,6 +376,10 @@
                 stuck = stuck.isEmpty() ? box.name() + " cannot be reached" : stuck;
             } else if (tried(box) >= plan.tries()) {
                 stuck = box.name() + " failed " + tried(box) + " times: " + boxes.get(box.name()).failed();
+                if (++failed >= MOST_FAILED) {
+                    // Guards against trying a release that cannot go anywhere at every box of the fleet.
+                    break;
+                }
             } else if (!maySteer) {
                 waits = true;
             } else {
@@ -381,7 +401,9 @@
             waits = false;
             stuck = stuck.isEmpty() ? String.join(", ", silent) + " was told and cannot be reached since" : stuck;
         }
-        if (!waits && !stuck.isEmpty()) {
+        if (failed >= MOST_FAILED && away.isEmpty()) {
+            enter(State.HELD, failed + " boxes could not go, at last " + stuck, now);
+        } else if (!waits && !stuck.isEmpty()) {
             boolean onlyCut = behind.stream().allMatch(box -> cut.contains(box.name()));
             if (onlyCut && plan.whenCut() == Plan.WhenCut.GO) {
                 enter(State.HOLDING, stuck + "; it goes on without", now);
--- a/src/main/java/wharftrestle/fleet/Steering.java
+++ b/src/main/java/wharftrestle/fleet/Steering.java
@@ -96,6 +96,11 @@
         return lostTo;
     }
 
+    /** A keeper is known to have granted this epoch: the next one claimed lies above it. */
+    public void knows(long granted) {
+        highest = Math.max(highest, granted);
+    }
+
     /** Claims a new epoch: the caller writes it to its journal before it asks anybody for it. */
     public long claim() {
         epoch = Math.max(highest, epoch) + 1;
--- a/src/main/java/wharftrestle/lab/Daemon.java
+++ b/src/main/java/wharftrestle/lab/Daemon.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import wharftrestle.box.Proc;
 import wharftrestle.net.Bytes;
 
 /**
@@ -108,16 +109,12 @@
 
     /** Seconds of all cores that the process has used, by itself and in the system; in hundredths, as Linux counts them. */
     public double cpuSeconds() throws IOException {
-        String stat = Files.readString(Path.of("/proc/" + pid() + "/stat"));
-        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-        return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / 100.0;
+        return Proc.cpuSeconds(pid());
     }
 
     /** Memory of the process, kB: VmHWM is the most that was resident, RssAnon what can only be its own. */
     public long memoryKb(String name) throws IOException {
-        return Files.readAllLines(Path.of("/proc/" + pid() + "/status")).stream()
-                .filter(line -> line.startsWith(name + ":")).mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
-                .findFirst().orElse(0);
+        return Proc.memoryKb(pid(), name);
     }
 
     /** The process's own memory in MB: pages of its heap that were ever touched, and all else that no file backs. */
--- a/src/test/java/wharftrestle/fleet/JudgeTest.java
+++ b/src/test/java/wharftrestle/fleet/JudgeTest.java
@@ -11,10 +11,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import wharftrestle.fleet.Judge.Word;
-import wharftrestle.lab.virtual.RollPlay;
 import wharftrestle.lab.virtual.RollPlay.Judging;
 import wharftrestle.lab.virtual.RollPlay.Release;
 import wharftrestle.lab.virtual.RollPlay.Trouble;
+import wharftrestle.lab.virtual.RollPlay;
 
 /** What the judge says, of made-up windows and of whole rolls in virtual time. */
 class JudgeTest {
@@ -68,6 +68,25 @@
         assertEquals(Word.SAME, judge.verdict().word(), judge.verdict().why());
     }
 
+    @Test
+    void aDriverThatFollowsNeverSawWhatIsUsualOfAChangedBoxAndTakesWhatBoxesDifferBy() {
+        judge.stage();
+        windows(60, 1, 0.02, 0.02, 0);
+        assertEquals(Word.SAME, judge.verdict().word(), judge.verdict().why());
+        judge.stage();
+        windows(80, 1, 0.02, 0.1, 0);
+        assertEquals(Word.WORSE, judge.verdict().word(), judge.verdict().why());
+    }
+
+    @Test
+    void aBoxThatTakesItBackByItselfTwiceSaysEnough() {
+        judge.takenBack("b1", "it died in its probation");
+        judge.takenBack("b2", "it died in its probation");
+        assertEquals(Word.CANNOT_TELL, judge.verdict().word(), judge.verdict().why());
+        judge.takenBack("b1", "30% failed, 1% before");
+        assertEquals("b1 took it back by itself 2 times: 30% failed, 1% before", judge.verdict().why());
+    }
+
     @Test
     void twoDeathsAtOneBoxAreALoopAndDeathsOfAllBoxesAreNone() {
         judge.stage();
--- a/src/test/java/wharftrestle/prove/ProveChange.java
+++ b/src/test/java/wharftrestle/prove/ProveChange.java
@@ -35,6 +35,8 @@
     private static final long WATCH_MS = 700;
     /** Milliseconds after a kill in which a connection may end without its answer. */
     private static final long KILL_MS = 1500;
+    /** How a process says that another has no room for its keys. */
+    private static final String NO_ROOM = "keys are known here, and there is room for";
     private static final List<String> HISTORY = List.of("7ee9590", "f2bf4dc");
 
     /** One way to be: what a process is, and whether it can take over from any other here. */
@@ -206,6 +208,11 @@
             return refused(old, now);
         }
         if (!now.awaitReady(readyMs + wait)) {
+            if (now.log().contains(NO_ROOM)) {
+                // As many keys were known as a smaller one has no room for: that is refused beforehand, and said.
+                ended("refused for want of room");
+                return refused(old, now);
+            }
             return unfinished(now, "was never ready (" + serves.name() + " to " + next.name() + ")");
         }
         ended("changed");
