--- a/src/main/java/wharftrestle/box/FleetDoor.java
+++ b/src/main/java/wharftrestle/box/FleetDoor.java
@@ -37,7 +37,7 @@
  * incarnation. It decides nothing: {@link Fence} does. It must never wait for a daemon, or answer before what it grants
  * is on disk.
  */
-final class FleetDoor implements Closeable {
+public final class FleetDoor implements Closeable {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int LONGEST = 4096;
     private static final int THREADS = 4;
@@ -69,7 +69,7 @@
      * @param shown  how the box is, as of the keeper's last look
      * @param reads  true where the program of one release can read the settings of another
      */
-    FleetDoor(InetSocketAddress at, String name, Path state, Releases releases, UnaryOperator<String> orders,
+    public FleetDoor(InetSocketAddress at, String name, Path state, Releases releases, UnaryOperator<String> orders,
             Supplier<Map<String, Object>> shown, BiPredicate<String, String> reads) throws IOException {
         this.releases = releases;
         this.reads = reads;
--- a/src/main/java/wharftrestle/drive/Driver.java
+++ b/src/main/java/wharftrestle/drive/Driver.java
@@ -365,7 +365,7 @@
         if (judge == null) {
             List<String> classes = views.values().stream().map(BoxView::classes).filter(each -> !each.isEmpty()).findFirst()
                     .orElse(List.of());
-            if (classes.isEmpty()) {
+            if (classes.isEmpty() && !plan.limits().isEmpty()) {
                 return;
             }
             judge = new Judge(plan.limits(), classes, plan.stages().size(), plan.errors());
--- a/src/main/java/wharftrestle/drive/PlanScript.java
+++ b/src/main/java/wharftrestle/drive/PlanScript.java
@@ -78,7 +78,7 @@
         try {
             return reader.whole(text);
         } catch (RefusedException wrong) {
-            throw new BadSettingsException(name, reader.change.place(), wrong.getMessage());
+            throw new BadSettingsException(name, wrong.place(), wrong.getMessage());
         }
     }
 
--- a/src/main/java/wharftrestle/fleet/Judge.java
+++ b/src/main/java/wharftrestle/fleet/Judge.java
@@ -305,6 +305,9 @@
         if (!broken.isEmpty()) {
             return new Verdict(Word.WORSE, broken);
         }
+        if (series.isEmpty()) {
+            return new Verdict(Word.SAME, "the plan compares nothing");
+        }
         long all = series.values().stream().filter(each -> each.measure == Measure.FAILED)
                 .mapToLong(each -> each.asked).sum();
         String open = "";
--- a/src/main/java/wharftrestle/lab/Callers.java
+++ b/src/main/java/wharftrestle/lab/Callers.java
@@ -29,8 +29,19 @@
      * @param keyMs   for which a key is repeated; inside its window
      * @param again   part of requests that repeat a key, besides those whose answer was lost, which are asked again at once
      * @param thinkMs that a caller waits between two requests, at most
+     * @param everyMs at which a caller asks, however long its answers take, as long as it has the last one; 0 for thinking
      */
-    public record Habit(int many, long keyMs, double again, int thinkMs) {
+    public record Habit(int many, long keyMs, double again, int thinkMs, double everyMs) {
+        /** They think between two requests. */
+        public Habit(int many, long keyMs, double again, int thinkMs) {
+            this(many, keyMs, again, thinkMs, 0);
+        }
+
+        /** So many requests a second of all callers, however long answers take; enough callers that few wait. */
+        public static Habit paced(int many, long keyMs, double rate) {
+            return new Habit(many, keyMs, 0.4, 1, many * 1000 / rate);
+        }
+
         /** Four in ten repeat a key. */
         public static Habit of(int many, long keyMs) {
             return new Habit(many, keyMs, 0.4, 30);
@@ -39,6 +50,8 @@
 
     /** Milliseconds of clocks' and threads' error between a kill and what was seen of it. */
     private static final long BLUR_MS = 50;
+    /** Nanoseconds by which a paced caller may be behind and still ask what it missed. */
+    private static final long PACE_BEHIND = 1_000_000_000L;
 
     /** A refusal of what had begun to run before, on the clock of System.nanoTime. */
     private record Refusal(String body, long begun, long at) { }
@@ -139,6 +152,11 @@
         forgotten.add(at);
     }
 
+    /** Answers that were neither a result nor a refusal up to now. */
+    public int failed() {
+        return failed.get();
+    }
+
     /** Requests that were refused up to now. */
     public int refused() {
         return refused.get();
@@ -193,6 +211,7 @@
         List<Key> keys = new ArrayList<>();
         Desk desk = null;
         Key lostKey = null;   // asked and not answered: the first thing to ask again
+        long due = System.nanoTime() + (long) (random.nextDouble() * habit.everyMs() * 1e6);
         while (!over) {
             keys.removeIf(key -> System.currentTimeMillis() - key.since > habit.keyMs());
             boolean repeat = lostKey != null || !keys.isEmpty() && random.nextDouble() < habit.again();
@@ -202,6 +221,10 @@
             Key key = lostKey != null ? lostKey
                     : repeat ? keys.get(random.nextInt(keys.size())) : keys.get(keys.size() - 1);
             lostKey = key;
+            if (habit.everyMs() > 0) {
+                LockSupport.parkNanos(due - System.nanoTime());
+                due = Math.max(due, System.nanoTime() - PACE_BEHIND) + (long) (habit.everyMs() * 1e6);
+            }
             try {
                 if (desk != null && desk.closing()) {
                     desk.close();
@@ -214,7 +237,9 @@
                 lostKey = null;
                 repeats.addAndGet(repeat ? 1 : 0);
                 judge(key, reply);
-                LockSupport.parkNanos(random.nextInt(habit.thinkMs()) * 1_000_000L);
+                if (habit.everyMs() <= 0) {
+                    LockSupport.parkNanos(random.nextInt(habit.thinkMs()) * 1_000_000L);
+                }
             } catch (IOException ended) {
                 (excused.getAsBoolean() ? lostExcused : lost).incrementAndGet();
                 try {
--- a/src/main/java/wharftrestle/settings/Scripts.java
+++ b/src/main/java/wharftrestle/settings/Scripts.java
@@ -25,6 +25,11 @@
             super(message, null, false, false);
             this.place = place;
         }
+
+        /** Where it stands. */
+        public Place place() {
+            return place;
+        }
     }
 
     /** The caller's words. */
