Keep results on disk in the rig's fleet, play two drivers at once, and go on with a change as it is

Change: a change under way is gone on with as it is; fleets of the rig keep results on disk, each box its own; one keeper's clock is an hour off throughout; results by stage; two operators' plans at once, with keepers that are fenced and with ones that obey anybody.

--- a/src/main/java/wharftrestle/box/FleetDoor.java
+++ b/src/main/java/wharftrestle/box/FleetDoor.java
@@ -237,7 +237,8 @@
         all.put("build", releases.build(wanted));
         all.put("settings", releases.settings(wanted));
         String now = String.valueOf(shown.get().getOrDefault("release", ""));
-        boolean knows = releases.settings(wanted).isEmpty() || now.isEmpty() || reads.test(now, wanted);
+        boolean knows = releases.settings(wanted).isEmpty() || now.isEmpty() || now.equals(wanted) || reads.test(now,
+                wanted);
         all.put("back", knows ? "" : "its settings are none that " + now + " can read");
         return box(all);
     }
--- a/src/main/java/wharftrestle/drive/Driver.java
+++ b/src/main/java/wharftrestle/drive/Driver.java
@@ -101,6 +101,7 @@
     private Judge judge;                   // null until classes are known
     private final Set<String> ours = new HashSet<>();     // drivers of this folder: whoever steered from here has ended
     private Judge.Verdict verdict = new Judge.Verdict(Judge.Word.CANNOT_TELL, "nothing can be compared yet");
+    private final boolean goesOn;          // a change that is under way
     private double watchedFrom;
     private double edgeAt;
     private boolean stageBegun;
@@ -132,7 +133,7 @@
         }
         journal = new JsonLog<>(folder.resolve(JOURNAL), Line.class);
         Line last = journal.last();
-        boolean goesOn = last != null && !last.roll().state().over();
+        goesOn = last != null && !last.roll().state().over();
         if (goesOn && !last.plan().equals(digest)) {
             close(null);
             throw new RefusedException("another change is under way in " + folder + ": go on with its own copy, "
@@ -176,7 +177,8 @@
     // ---- Before anything starts ----
 
     /**
-     * Asks every keeper who steers, and whether its box can go to the release and back.
+     * Asks every keeper who steers, and whether its box can go to the release and back; a change that is under way is
+     * gone on with as it is.
      *
      * @param takeOver go on in place of a driver that is alive
      * @throws RefusedException with every reason, before anything has moved
@@ -203,7 +205,7 @@
         }
         asked.await();
         List<String> against = new ArrayList<>();
-        if (boxes.size() * 2 <= plan.boxes().size()) {
+        if (!goesOn && boxes.size() * 2 <= plan.boxes().size()) {
             against.add(boxes.size() + " of " + plan.boxes().size() + " keepers answer, which is not more than half");
         }
         String build = "";
@@ -212,6 +214,9 @@
             if (is == null) {
                 continue;
             }
+            synchronized (this) {
+                steering.knows(is.path("epoch").asLong());
+            }
             if (!is.path("name").asText().equals(box.name())) {
                 against.add("the keeper at " + box.keeper() + " is of box '" + is.path("name").asText() + "', not "
                         + box.name());
@@ -223,6 +228,9 @@
                         + "its place", driver, is.path("epoch").asLong(), box.name(), is.path("askedAgo").asDouble()));
             }
             JsonNode can = releases.get(box.name());
+            if (goesOn) {
+                continue;   // where a box could go was asked before it began
+            }
             if (!can.path("against").asText().isEmpty()) {
                 against.add(box.name() + ": " + can.path("against").asText());
             } else if (build.isEmpty()) {
@@ -233,9 +241,6 @@
             if (!can.path("back").asText().isEmpty() && plan.whenWorse() == Plan.WhenWorse.BACK) {
                 against.add(box.name() + " could not be taken back: " + can.path("back").asText());
             }
-            synchronized (this) {
-                steering.knows(is.path("epoch").asLong());
-            }
         }
         if (!against.isEmpty()) {
             throw new RefusedException(String.join("; ", against.subList(0, Math.min(5, against.size())))
--- a/src/main/java/wharftrestle/lab/FleetFloor.java
+++ b/src/main/java/wharftrestle/lab/FleetFloor.java
@@ -135,12 +135,15 @@
     private final Map<String, Box> boxes = new LinkedHashMap<>();
     private final List<Process> drivers = new ArrayList<>();
     private final long seed;
+    private final OffClock hourOff;
 
     /** @param zones boxes lie in so many, in turn */
     public FleetFloor(Path folder, int boxes, int zones, long seed) throws IOException {
         this.folder = folder;
         this.seed = seed;
         releases = folder.resolve("releases");
+        hourOff = new OffClock(folder.resolve("hour-off"));
+        hourOff.set(3_600_000);
         for (int i = 1; i <= boxes; i++) {
             Path own = Files.createDirectory(folder.resolve("b" + i));
             int port = Address.freePort();
@@ -177,11 +180,15 @@
             }
             out.closeEntry();
         }
-        new Releases(releases).pack(jar, null, name);
+        // Results are kept on disk, each box in its own folder: so a daemon that dies costs no key.
+        Path settings = Files.writeString(folder.resolve("kept.star"), "durable(dir = \"results\", max_mb = 16)\n");
+        new Releases(releases).pack(jar, settings, name);
     }
 
     private static String classes() {
-        return System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+        String all = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+        return Arrays.stream(all.split(File.pathSeparator)).map(each -> Path.of(each).toAbsolutePath().toString())
+                .collect(Collectors.joining(File.pathSeparator));
     }
 
     private static List<String> java() {
@@ -192,16 +199,24 @@
 
     /** Starts the keeper of a box; the release counts where nothing runs there. */
     public void keep(Box box, String release) throws IOException {
+        keep(box, release, "wharftrestle.Main");
+    }
+
+    /** The same with another main class, such as a keeper that is wrong on purpose. */
+    public void keep(Box box, String release, String main) throws IOException {
         List<String> command = java();
+        if (box == boxes.values().iterator().next()) {
+            command.add(hourOff.option());   // one keeper's time of day is an hour off throughout: nothing may hang on it
+        }
         // The daemons' settings for the box: a short probation, as the fleet's judge watches longer.
         Path settings = box.state.resolveSibling("box.star");
         Files.writeString(settings, "box(ready_s = 20, probation_s = 3, pause_s = 0.3, most_pause_s = 2, deaths = 4)\n");
-        command.addAll(List.of("-cp", classes(), "wharftrestle.Main", "box", "run", "--releases", releases.toString(),
+        command.addAll(List.of("-cp", classes(), main, "box", "run", "--releases", releases.toString(),
                 "--dir",
                 box.state.toString(), "--settings", settings.toString(), "--fleet", "127.0.0.1:" + box.port, "--name",
                 box.name,
                 "--java", String.join(" ", java()), release));
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).directory(box.state.toFile())
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(box.state.resolveSibling("keeper.log").toFile()));
         builder.environment().put("EDGE_CONFIG", box.floor.folder().resolve("config.json").toString());
         builder.environment().put("MALLOC_ARENA_MAX", "1");
@@ -307,6 +322,17 @@
         return all;
     }
 
+    /** Answers of all callers: results, refusals, failures. */
+    public int[] answers() {
+        int[] all = new int[3];
+        for (Box box : boxes.values()) {
+            all[0] += box.callers.served();
+            all[1] += box.callers.refused();
+            all[2] += box.callers.failed();
+        }
+        return all;
+    }
+
     /** Answers that were results, of all callers. */
     public int served() {
         return boxes.values().stream().mapToInt(box -> box.callers.served()).sum();
@@ -334,5 +360,6 @@
             box.link.close();
             box.floor.close();
         }
+        hourOff.close();
     }
 }
--- a/src/test/java/wharftrestle/prove/BadRelease.java
+++ b/src/test/java/wharftrestle/prove/BadRelease.java
@@ -15,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.locks.LockSupport;
@@ -24,6 +25,7 @@
 import wharftrestle.net.Address;
 import wharftrestle.net.Bytes;
 import wharftrestle.net.Config;
+import wharftrestle.settings.Settings;
 
 /** The daemon made worse in one way, which the word in its jar names: what a rolling change has to stop. */
 public final class BadRelease {
@@ -57,7 +59,9 @@
         Path own = Files.createTempFile("bad", ".json");
         Files.write(own, new ObjectMapper().writeValueAsBytes(root));
         environment.put("EDGE_CONFIG", own.toString());
-        Lifecycle life = new Lifecycle(Config.read(environment), Config.Appliance.none());
+        int at = Arrays.asList(args).indexOf("--appliance");
+        Config.Appliance set = at < 0 ? Config.Appliance.none() : Settings.read(Path.of(args[at + 1])).appliance();
+        Lifecycle life = new Lifecycle(Config.read(environment), set);
         Signal.handle(new Signal("TERM"), signal -> life.leave());
         life.start();
         life.serveUntilStopped();
--- a/src/test/java/wharftrestle/prove/ProveRoll.java
+++ b/src/test/java/wharftrestle/prove/ProveRoll.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -80,15 +81,16 @@
     private static final String JUDGED = BRIEFLY + ", cpu(3), growth(90)";
 
     /** The fleet with its callers, all of it on the first release. */
-    private FleetFloor fleet(Path folder) throws Exception {
-        FleetFloor floor = new FleetFloor(folder, BOXES, ZONES, seed);
+    private FleetFloor fleet(Path folder, int boxes, String keeper) throws Exception {
+        FleetFloor floor = new FleetFloor(folder, boxes, ZONES, seed);
         floor.pack(FIRST, "wharftrestle.Main", "");
         floor.pack("two", "wharftrestle.Main", "");
+        floor.pack("three", "wharftrestle.Main", "");
         for (String bad : BAD) {
             floor.pack(bad, "wharftrestle.prove.BadRelease", bad);
         }
         for (FleetFloor.Box box : floor.boxes().values()) {
-            floor.keep(box, FIRST);
+            floor.keep(box, FIRST, keeper);
         }
         if (!floor.awaitAll(FIRST, READY_MS)) {
             String logs = floor.logs();
@@ -108,6 +110,7 @@
         int drivers = 1;
         int put = 0;
         int most = 0;
+        List<long[]> counts = new ArrayList<>();
         long next = began + TimeUnit.SECONDS.toNanos(brief ? 6 : 10);
         long until = began + TimeUnit.SECONDS.toNanos(brief ? 75 : 300);
         while (driver.isAlive() && System.nanoTime() < until) {
@@ -123,6 +126,11 @@
                     trouble(floor, trouble, driver);
                 }
             }
+            if (release.equals("crashes")) {
+                floor.boxes().values().forEach(FleetFloor.Box::trouble);   // what it has in hand goes with it
+            }
+            int[] now = floor.answers();
+            counts.add(new long[] {System.currentTimeMillis(), now[0], now[1], now[2]});
             most = Math.max(most, count(floor, release));
             LockSupport.parkNanos(100_000_000);
         }
@@ -140,6 +148,9 @@
         Played played = new Played(release, good ? "arrived" : "taken back", arrived && driver.exitValue() == (good ? 0 : 1),
                 ended ? driver.exitValue() : -1, put, drivers, seconds, most, floor.broken(), brief(why));
         out.println("  " + played);
+        if (good) {
+            out.println("    " + byStage(told, counts));
+        }
         if (!played.holds()) {
             told.stream().skip(Math.max(0, told.size() - 40)).forEach(line -> out.println("    " + line));
             floor.boxes().values().forEach(box -> out.println("    " + box.name() + " " + box.shows().path("box")));
@@ -148,6 +159,67 @@
         return played;
     }
 
+    /** Results a second of all callers, by stage; before the first box goes it is what the fleet does without a change. */
+    private static String byStage(List<JsonNode> told, List<long[]> counts) {
+        Map<String, long[]> spans = new LinkedHashMap<>();
+        String stage = "before";
+        int at = 0;
+        for (JsonNode event : told) {
+            boolean first = event.path("what").asText().equals("tells") && stage.equals("before");
+            boolean begins = event.path("what").asText().startsWith("begins stage") && !stage.equals("before");
+            for (; (first || begins) && at < counts.size() && counts.get(at)[0] <= event.path("at").asLong(); at++) {
+                long[] sum = spans.computeIfAbsent(stage, key -> new long[4]);
+                for (int i = 0; at > 0 && i < sum.length; i++) {
+                    sum[i] += counts.get(at)[i] - counts.get(at - 1)[i];
+                }
+            }
+            stage = first || begins ? "stage " + event.path("stage").asInt() : stage;
+        }
+        for (; at < counts.size(); at++) {
+            long[] sum = spans.computeIfAbsent(stage, key -> new long[4]);
+            for (int i = 0; at > 0 && i < sum.length; i++) {
+                sum[i] += counts.get(at)[i] - counts.get(at - 1)[i];
+            }
+        }
+        return spans.entrySet().stream().map(each -> String.format(Locale.ROOT, "%s: %.0f results a second (%.2f%% refused, "
+                + "%.2f%% failed)", each.getKey(), each.getValue()[1] * 1000.0 / Math.max(1, each.getValue()[0]),
+                100.0 * each.getValue()[2] / Math.max(1, each.getValue()[1]), 100.0 * each.getValue()[3]
+                / Math.max(1, each.getValue()[1]))).collect(Collectors.joining("; "));
+    }
+
+    /**
+     * Two operators start two plans, the second one in the first one's place; boxes that went to the first one's release
+     * after the second one gave its first order.
+     */
+    private int twoDrivers(String keeper) throws Exception {
+        Path folder = Files.createTempDirectory("prove-roll");
+        try (FleetFloor floor = fleet(folder, 6, keeper)) {
+            String plan = "stages = [stage(boxes = 1, hold = 1), stage(share = 1, hold = 1)], worse = [], most_away = 1, "
+                    + "window = 0.5, watch = 1, warm = 1)";
+            Process first = floor.drive(floor.plan("two.star", "change(to = \"two\", " + plan), "ann", "--driver", "ann");
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(40);
+            while (told(floor, "ann").isEmpty() && System.nanoTime() < until) {
+                LockSupport.parkNanos(20_000_000);
+            }
+            Process second = floor.drive(floor.plan("three.star", "change(to = \"three\", " + plan), "bob", "--driver",
+                    "bob",
+                    "--take-over");
+            second.waitFor(40, TimeUnit.SECONDS);
+            first.waitFor(15, TimeUnit.SECONDS);
+            for (FleetFloor.Box box : floor.boxes().values()) {
+                box.callers().stop();
+            }
+            long from = told(floor, "bob").stream().mapToLong(line -> line.path("at").asLong()).min().orElse(Long.MAX_VALUE);
+            return (int) told(floor, "ann").stream().filter(line -> line.path("at").asLong() > from).count();
+        } finally {
+            Floor.delete(folder);
+        }
+    }
+
+    private static List<JsonNode> told(FleetFloor floor, String driver) throws IOException {
+        return floor.told(driver).stream().filter(line -> line.path("what").asText().equals("tells")).toList();
+    }
+
     private static String brief(String why) {
         return why.length() > 160 ? why.substring(0, 160) : why;
     }
@@ -223,7 +295,7 @@
         boolean unjudged = true;
         int broken;
         Path folder = Files.createTempDirectory("prove-roll");
-        try (FleetFloor floor = fleet(folder)) {
+        try (FleetFloor floor = fleet(folder, BOXES, "wharftrestle.Main")) {
             for (String bad : brief ? BAD.subList(0, 1) : BAD) {
                 all.add(roll(floor, bad, false, brief ? BRIEFLY : JUDGED, brief ? 0 : 4));
             }
@@ -241,14 +313,24 @@
         } finally {
             Floor.delete(folder);
         }
+        int fenced = 0;
+        int unfenced = 1;
+        if (!brief) {
+            fenced = twoDrivers("wharftrestle.Main");
+            unfenced = twoDrivers("wharftrestle.prove.Unfenced");
+            out.println("  two drivers at once: the first one gave " + fenced
+                    + " orders after the second one's first, with epochs "
+                    + "off " + unfenced);
+        }
         long holds = all.stream().filter(Played::holds).count();
-        boolean whole = holds == all.size() && unjudged && broken == 0;
+        boolean whole = holds == all.size() && unjudged && broken == 0 && fenced == 0 && unfenced > 0;
         int had = all.stream().filter(each -> each.wanted().equals("taken back")).mapToInt(Played::most).max().orElse(0);
         out.printf(Locale.ROOT, "prove-roll: %s, %d of %d rolls ended as they had to, %d boxes had a bad release at most, "
-                + "%d troubles, %d drivers, %d broken rules; with the judge off a bad one %s%n",
+                + "%d troubles, %d drivers, %d broken rules; with the judge off a bad one %s, with epochs off %s%n",
                 whole ? "holds" : "falls short", holds, all.size(), had,
                 all.stream().mapToInt(Played::troubles).sum(), all.stream().mapToInt(Played::drivers).sum(), broken,
-                brief ? "is not played" : unjudged ? "goes everywhere" : "does not go everywhere");
+                brief ? "is not played" : unjudged ? "goes everywhere" : "does not go everywhere",
+                brief ? "nothing is played" : unfenced > 0 ? "two drivers steer" : "one driver steers all the same");
         return whole;
     }
 
