--- a/src/main/java/wharftrestle/box/BoxKeeper.java
+++ b/src/main/java/wharftrestle/box/BoxKeeper.java
@@ -5,13 +5,9 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
-import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
@@ -74,7 +70,7 @@
     private final Places places;
     private final Releases releases;
     private final Keeper keeper;
-    private final FileChannel lockFile;
+    private final FolderLock lock;
     private final StepLog journal;
     private final Map<Keeper.Role, Running> running = new EnumMap<>(Keeper.Role.class);
     private final List<Running> ending = new ArrayList<>();
@@ -110,16 +106,8 @@
         releases = new Releases(places.releases());
         keeper = new Keeper(limits);
         Files.createDirectories(places.state());
-        lockFile = FileChannel.open(places.state().resolve("keeper.lock"), StandardOpenOption.CREATE,
-                StandardOpenOption.WRITE);
-        FileLock lock;
-        try {
-            lock = lockFile.tryLock();
-        } catch (OverlappingFileLockException e) {
-            lock = null;
-        }
+        lock = FolderLock.take(places.state().resolve("keeper.lock"));
         if (lock == null) {
-            lockFile.close();
             throw new TakenException("another keeper has this box (" + places.state() + ")");
         }
         journal = new StepLog(places.state().resolve("journal.jsonl"));
@@ -516,6 +504,6 @@
             socket.close();
         }
         journal.close();
-        lockFile.close();
+        lock.close();
     }
 }
--- a/src/main/java/wharftrestle/drive/Driver.java
+++ b/src/main/java/wharftrestle/drive/Driver.java
@@ -4,13 +4,9 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.Closeable;
 import java.io.IOException;
-import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
@@ -26,6 +22,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
+import wharftrestle.box.FolderLock;
 import wharftrestle.box.JsonLog;
 import wharftrestle.box.OrderSocket;
 import wharftrestle.clock.Wall;
@@ -90,7 +87,7 @@
     private final String digest;
     private final Events events;
     private final KeeperCall calls = new KeeperCall();
-    private final FileChannel lockFile;
+    private final FolderLock lock;
     private final JsonLog<Line> journal;
     private final OrderSocket socket;
     private final Steering steering;
@@ -120,15 +117,8 @@
         plan = script.plan();
         digest = sha256(script.text());
         Files.createDirectories(folder);
-        lockFile = FileChannel.open(folder.resolve("roll.lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-        FileLock lock;
-        try {
-            lock = lockFile.tryLock();
-        } catch (OverlappingFileLockException e) {
-            lock = null;
-        }
+        lock = FolderLock.take(folder.resolve("roll.lock"));
         if (lock == null) {
-            lockFile.close();
             throw new RefusedException("another driver has " + folder);
         }
         journal = new JsonLog<>(folder.resolve(JOURNAL), Line.class);
@@ -597,7 +587,7 @@
             open.close();
         }
         journal.close();
-        lockFile.close();
+        lock.close();
     }
 
     @Override
--- a/src/main/java/wharftrestle/drive/PlanScript.java
+++ b/src/main/java/wharftrestle/drive/PlanScript.java
@@ -115,7 +115,7 @@
                 }
                 default -> {
                     Measure measure = measure(call.word());
-                    return new Limit(measure, number(call, "limit", measure.limit(), 1e-4, measure.part() ? 1 : 1e6));
+                    return new Limit(measure, call.number("limit", measure.limit(), 1e-4, measure.part() ? 1 : 1e6));
                 }
             }
         }
@@ -125,7 +125,7 @@
         }
 
         private void box(Scripts.Call call) throws RefusedException {
-            String name = text(call, "name", null, NAME, "a name of letters, digits, '.', '_' and '-'");
+            String name = call.text("name", null, NAME, "a name of letters, digits, '.', '_' and '-'");
             if (boxes.containsKey(name)) {
                 throw new RefusedException(call.place(), "box " + name + " stands twice");
             }
@@ -138,12 +138,12 @@
             if (!front.isEmpty()) {
                 fronts.put(name, front);
             }
-            boxes.put(name, new Plan.Box(name, text(call, "zone", "", NAME, "a zone's name"), keeper, tenants(call)));
+            boxes.put(name, new Plan.Box(name, call.text("zone", "", NAME, "a zone's name"), keeper, tenants(call)));
         }
 
         private static List<String> tenants(Scripts.Call call) throws RefusedException {
             List<String> all = new ArrayList<>();
-            for (Object each : list(call, "tenants", List.of())) {
+            for (Object each : call.list("tenants", List.of())) {
                 if (!(each instanceof String tenant) || tenant.isEmpty()) {
                     throw new RefusedException(call.values().get("tenants").place(), "box.tenants: expected names, got "
                             + each);
@@ -158,15 +158,15 @@
             if (counted == call.values().containsKey("share")) {
                 throw new RefusedException(call.place(), "stage needs boxes or share, and not both");
             }
-            String spread = text(call, "spread", "", "zone", "\"zone\"");
-            return new Plan.Stage(counted ? (int) number(call, "boxes", Double.NaN, 1, 100_000) : 0,
-                    counted ? 0 : number(call, "share", Double.NaN, 1e-6, 1), !spread.isEmpty(),
-                    number(call, "hold", 60, 0, 86_400));
+            String spread = call.text("spread", "", "zone", "\"zone\"");
+            return new Plan.Stage(counted ? (int) call.number("boxes", Double.NaN, 1, 100_000) : 0,
+                    counted ? 0 : call.number("share", Double.NaN, 1e-6, 1), !spread.isEmpty(),
+                    call.number("hold", 60, 0, 86_400));
         }
 
         private static List<Plan.Stage> stages(Scripts.Call call) throws RefusedException {
             List<Plan.Stage> all = new ArrayList<>();
-            for (Object each : list(call, "stages", null)) {
+            for (Object each : call.list("stages", null)) {
                 if (!(each instanceof Plan.Stage stage)) {
                     throw new RefusedException(call.values().get("stages").place(),
                             "change.stages: expected stages, such as stage(boxes = 1, hold = 120), got " + each);
@@ -187,7 +187,7 @@
                 }
                 return all;
             }
-            for (Object each : list(call, "worse", null)) {
+            for (Object each : call.list("worse", null)) {
                 if (!(each instanceof Limit limit)) {
                     throw new RefusedException(call.values().get("worse").place(),
                             "change.worse: expected measures, such as worth(0.03), got " + each);
@@ -214,74 +214,27 @@
                 }
                 before = target;
             }
-            double window = number(change, "window", 10, 0.5, 600);
-            double watch = number(change, "watch", LEAST_WINDOWS * window + 20, 0, 86_400);
+            double window = change.number("window", 10, 0.5, 600);
+            double watch = change.number("watch", LEAST_WINDOWS * window + 20, 0, 86_400);
             if (watch < LEAST_WINDOWS * window && !limits.isEmpty()) {
                 throw new RefusedException(change.values().get("watch").place(), "change.watch: expected " + LEAST_WINDOWS
                         + " windows at least, or nothing can be compared: " + LEAST_WINDOWS * window + " s");
             }
-            Plan plan = new Plan(text(change, "to", null, NAME, "the name of a release"), List.copyOf(boxes.values()),
-                    List.copyOf(stages), limits, number(change, "errors", 0.05, 1e-6, 0.5),
-                    (int) number(change, "most_away", 1, 1, 1000), (int) number(change, "tries", 2, 1, 100),
-                    number(change, "warm", 30, 0, 3600), number(change, "patience", 1800, 0, 86_400),
-                    Plan.WhenCut.valueOf(text(change, "when_cut", "hold", "hold|go", "\"hold\" or \"go\"")
-                    .toUpperCase(Locale.ROOT)), Plan.WhenWorse.valueOf(text(change, "when_worse", "back", "back|hold",
+            Plan plan = new Plan(change.text("to", null, NAME, "the name of a release"), List.copyOf(boxes.values()),
+                    List.copyOf(stages), limits, change.number("errors", 0.05, 1e-6, 0.5),
+                    (int) change.number("most_away", 1, 1, 1000), (int) change.number("tries", 2, 1, 100),
+                    change.number("warm", 30, 0, 3600), change.number("patience", 1800, 0, 86_400),
+                    Plan.WhenCut.valueOf(change.text("when_cut", "hold", "hold|go", "\"hold\" or \"go\"")
+                    .toUpperCase(Locale.ROOT)), Plan.WhenWorse.valueOf(change.text("when_worse", "back", "back|hold",
                     "\"back\" or \"hold\"").toUpperCase(Locale.ROOT)));
             return new PlanScript(plan, fronts, window, watch, text);
         }
 
-        // ---- Values ----
-
-        private static Scripts.Value need(Scripts.Call call, String name) throws RefusedException {
-            Scripts.Value value = call.values().get(name);
-            if (value == null) {
-                throw new RefusedException(call.place(), call.word() + " needs " + name);
-            }
-            return value;
-        }
-
-        private static List<?> list(Scripts.Call call, String name, List<?> initial) throws RefusedException {
-            if (!call.values().containsKey(name) && initial != null) {
-                return initial;
-            }
-            Scripts.Value value = need(call, name);
-            if (value.value() instanceof List<?> all) {
-                return all;
-            }
-            throw new RefusedException(value.place(), call.word() + "." + name + ": expected a list, got " + value.value());
-        }
-
-        private static double number(Scripts.Call call, String name, double initial, double least, double most)
-                throws RefusedException {
-            if (!call.values().containsKey(name) && !Double.isNaN(initial)) {
-                return initial;
-            }
-            Scripts.Value value = need(call, name);
-            if (value.value() instanceof Number number && number.doubleValue() >= least && number.doubleValue() <= most) {
-                return number.doubleValue();
-            }
-            throw new RefusedException(value.place(), call.word() + "." + name + ": expected a number from " + least + " to "
-                    + most + ", got " + value.value());
-        }
-
-        private static String text(Scripts.Call call, String name, String initial, String pattern, String expected)
-                throws RefusedException {
-            if (!call.values().containsKey(name) && initial != null) {
-                return initial;
-            }
-            Scripts.Value value = need(call, name);
-            if (value.value() instanceof String text && text.matches(pattern)) {
-                return text;
-            }
-            throw new RefusedException(value.place(), call.word() + "." + name + ": expected " + expected + ", got "
-                    + value.value());
-        }
-
         private static String address(Scripts.Call call, String name, boolean needed) throws RefusedException {
             if (!needed && !call.values().containsKey(name)) {
                 return "";
             }
-            Scripts.Value value = need(call, name);
+            Scripts.Value value = call.need(name);
             InetSocketAddress at = value.value() instanceof String text ? Address.of(text) : null;
             if (at == null) {
                 throw new RefusedException(value.place(), call.word() + "." + name
--- a/src/main/java/wharftrestle/lab/FaultScript.java
+++ b/src/main/java/wharftrestle/lab/FaultScript.java
@@ -124,14 +124,14 @@
                         throw new Scripts.RefusedException(call.place(), "play stands twice");
                     }
                     played = true;
-                    play = new Play(number(call, "seconds", 10, 1, 3600), (int) number(call, "boxes", 1, 1, 50),
-                            (int) number(call, "callers", 4, 1, 64), flag(call, "kept"),
-                            (long) number(call, "seed", 1, 0, 1e15));
+                    play = new Play(call.number("seconds", 10, 1, 3600), (int) call.number("boxes", 1, 1, 50),
+                            (int) call.number("callers", 4, 1, 64), flag(call, "kept"),
+                            (long) call.number("seed", 1, 0, 1e15));
                     return null;
                 }
                 case "at" -> {
-                    double time = number(call, "time", Double.NaN, 0, 3600);
-                    Scripts.Value fault = need(call, "fault");
+                    double time = call.number("time", Double.NaN, 0, 3600);
+                    Scripts.Value fault = call.need("fault");
                     if (!(fault.value() instanceof Fault what)) {
                         throw new Scripts.RefusedException(fault.place(),
                                 "at takes a fault, such as cut(\"b1\", \"front\")");
@@ -148,17 +148,17 @@
         private Fault fault(Scripts.Call call) throws Scripts.RefusedException {
             Kind kind = Kind.valueOf(call.word().toUpperCase(Locale.ROOT));
             boolean path = values(call.word()).contains("path");
-            return new Fault(kind, text(call, "box", null, "b[1-9][0-9]?"),
-                    path ? text(call, "path", null, String.join("|", PATHS)) : "",
+            return new Fault(kind, word(call, "box", null, "b[1-9][0-9]?"),
+                    path ? word(call, "path", null, String.join("|", PATHS)) : "",
                     switch (kind) {
-                        case DELAY -> number(call, "ms", Double.NaN, 0, 60_000);
-                        case RATE -> number(call, "kb", Double.NaN, 0.1, 1e6);
-                        case DROP, DOUBLE, REORDER -> number(call, "part", Double.NaN, 0, 1);
-                        case HOLD -> number(call, "cores", Double.NaN, 0.05, 64);
-                        case CLOCK -> number(call, "ms", Double.NaN, -1e9, 1e9);
+                        case DELAY -> call.number("ms", Double.NaN, 0, 60_000);
+                        case RATE -> call.number("kb", Double.NaN, 0.1, 1e6);
+                        case DROP, DOUBLE, REORDER -> call.number("part", Double.NaN, 0, 1);
+                        case HOLD -> call.number("cores", Double.NaN, 0.05, 64);
+                        case CLOCK -> call.number("ms", Double.NaN, -1e9, 1e9);
                         default -> 0;
-                    }, kind == Kind.DELAY ? number(call, "jitter", 0, 0, 60_000) : 0,
-                    text(call, "way", "both", "both|there|back"));
+                    }, kind == Kind.DELAY ? call.number("jitter", 0, 0, 60_000) : 0,
+                    word(call, "way", "both", "both|there|back"));
         }
 
         private String wrong(Step step) {
@@ -174,27 +174,6 @@
                     ? "datagrams cross the path \"names\" alone; use hole or delay" : null;
         }
 
-        private static Scripts.Value need(Scripts.Call call, String name) throws Scripts.RefusedException {
-            Scripts.Value value = call.values().get(name);
-            if (value == null) {
-                throw new Scripts.RefusedException(call.place(), call.word() + " needs " + name);
-            }
-            return value;
-        }
-
-        private static double number(Scripts.Call call, String name, double initial, double least, double most)
-                throws Scripts.RefusedException {
-            if (!call.values().containsKey(name) && !Double.isNaN(initial)) {
-                return initial;
-            }
-            Scripts.Value value = need(call, name);
-            if (value.value() instanceof Number number && number.doubleValue() >= least && number.doubleValue() <= most) {
-                return number.doubleValue();
-            }
-            throw new Scripts.RefusedException(value.place(), call.word() + "." + name + ": expected a number from " + least
-                    + " to " + most + ", got " + value.value());
-        }
-
         private static boolean flag(Scripts.Call call, String name) throws Scripts.RefusedException {
             Scripts.Value value = call.values().get(name);
             if (value == null) {
@@ -206,17 +185,9 @@
             throw new Scripts.RefusedException(value.place(), call.word() + "." + name + ": expected True or False");
         }
 
-        private static String text(Scripts.Call call, String name, String initial, String pattern)
+        private static String word(Scripts.Call call, String name, String initial, String pattern)
                 throws Scripts.RefusedException {
-            if (!call.values().containsKey(name) && initial != null) {
-                return initial;
-            }
-            Scripts.Value value = need(call, name);
-            if (value.value() instanceof String text && text.matches(pattern)) {
-                return text;
-            }
-            throw new Scripts.RefusedException(value.place(), call.word() + "." + name + ": expected one of "
-                    + pattern.replace("|", ", ") + ", got " + value.value());
+            return call.text(name, initial, pattern, "one of " + pattern.replace("|", ", "));
         }
     }
 }
--- a/src/main/java/wharftrestle/settings/Scripts.java
+++ b/src/main/java/wharftrestle/settings/Scripts.java
@@ -14,7 +14,59 @@
     public record Value(Object value, Place place) { }
 
     /** One call of a word; values are Long, Double, String, Boolean, List, Map, or what another word was worth. */
-    public record Call(String word, Map<String, Value> values, Place place) { }
+    public record Call(String word, Map<String, Value> values, Place place) {
+
+        /** A value that has to be there. */
+        public Value need(String name) throws RefusedException {
+            Value value = values.get(name);
+            if (value == null) {
+                throw new RefusedException(place, word + " needs " + name);
+            }
+            return value;
+        }
+
+        /** What is wrong with a value, at its place. */
+        private RefusedException wrong(String name, Value value, String expected) {
+            return new RefusedException(value.place(), word + "." + name + ": expected " + expected + ", got "
+                    + value.value());
+        }
+
+        /** A number within bounds; where it is absent the initial one, or a fault where that is NaN. */
+        public double number(String name, double initial, double least, double most) throws RefusedException {
+            if (!values.containsKey(name) && !Double.isNaN(initial)) {
+                return initial;
+            }
+            Value value = need(name);
+            if (value.value() instanceof Number number && number.doubleValue() >= least && number.doubleValue() <= most) {
+                return number.doubleValue();
+            }
+            throw wrong(name, value, "a number from " + least + " to " + most);
+        }
+
+        /** A text that matches; where it is absent the initial one, or a fault where that is null. */
+        public String text(String name, String initial, String pattern, String expected) throws RefusedException {
+            if (!values.containsKey(name) && initial != null) {
+                return initial;
+            }
+            Value value = need(name);
+            if (value.value() instanceof String text && text.matches(pattern)) {
+                return text;
+            }
+            throw wrong(name, value, expected);
+        }
+
+        /** A list; where it is absent the initial one, or a fault where that is null. */
+        public List<?> list(String name, List<?> initial) throws RefusedException {
+            if (!values.containsKey(name) && initial != null) {
+                return initial;
+            }
+            Value value = need(name);
+            if (value.value() instanceof List<?> all) {
+                return all;
+            }
+            throw wrong(name, value, "a list");
+        }
+    }
 
     /** What is wrong with a call. */
     public static final class RefusedException extends Exception {
