Never return to the release a box was taken back from, nor weigh against one that died in the change

Lines: Keeper.died and Keeper.worse, which took no figures for none failed; Keeper.ready, whose way back was the release that had just been found bad.

Change: without figures of the one before nothing is weighed; a driver's order back names itself, and leaves no way to the release it comes from. Tests: KeeperTest, two that fail without it.

--- a/src/main/java/wharftrestle/box/BoxKeeper.java
+++ b/src/main/java/wharftrestle/box/BoxKeeper.java
@@ -263,7 +263,7 @@
                 String[] order = words[1].split(" ");
                 attempt = Integer.parseInt(order[0]);
                 told = order[1];
-                String answer = go(told);
+                String answer = go(told, order.length > 2);
                 refusal = answer.startsWith("no ") ? answer.substring(3) : "";
                 show();
                 return answer;
@@ -274,8 +274,8 @@
         }
     }
 
-    /** A driver's word: this release is to serve, from wherever this box is. */
-    private String go(String to) throws IOException {
+    /** A driver's word: this release is to serve, from wherever this box is; back from what was found bad, or not. */
+    private String go(String to, boolean back) throws IOException {
         boolean coming = !keeper.candidate().isEmpty();
         if (coming ? keeper.candidate().equals(to) : keeper.release().equals(to)) {
             return "ok " + to + (coming ? " comes already" : " serves already");
@@ -294,7 +294,7 @@
         if (!against.isEmpty()) {
             return "no " + against;
         }
-        carryOut(keeper.change(to, now()));
+        carryOut(keeper.change(to, back, now()));
         return "ok changing to " + to;
     }
 
--- a/src/main/java/wharftrestle/box/FleetDoor.java
+++ b/src/main/java/wharftrestle/box/FleetDoor.java
@@ -170,7 +170,8 @@
                 }
                 Fence.Said said = fenced(() -> fence.order(epoch, driver, asked.path("stamp").asLong(), to, now()));
                 return said(said, said.answer() == Fence.Answer.OBEYED
-                        ? orders.apply("go " + said.kept().attempt() + " " + to) : "");
+                        ? orders.apply("go " + said.kept().attempt() + " " + to
+                        + (asked.path("back").asBoolean() ? " back" : "")) : "");
             }
             default -> {
                 return null;
--- a/src/main/java/wharftrestle/box/Keeper.java
+++ b/src/main/java/wharftrestle/box/Keeper.java
@@ -95,6 +95,7 @@
     private String release = "";        // that is to serve
     private String good = "";           // that served last and held
     private String candidate = "";      // that comes
+    private boolean forGood;            // what comes is not taken back to what serves now
     private String reason = "";         // of the last thing that went wrong
     private double since;               // of this state
     private int deaths;                 // in a row, of the release that is to serve
@@ -177,6 +178,12 @@
 
     /** Changes to another release; only where nothing is {@link #against} it. */
     public List<Act> change(String to, double now) {
+        return change(to, false, now);
+    }
+
+    /** The same; {@code back} where what serves now is what was found bad: there is no way back to it. */
+    public List<Act> change(String to, boolean back, double now) {
+        forGood = back;
         candidate = to;
         reason = "";
         enter(State.CHANGING, now);
@@ -207,7 +214,7 @@
             String before = release;
             act(Act.Kind.TERM, Role.SERVES, before, candidate + " serves");
             act(Act.Kind.PROMOTE, Role.COMES, candidate, "");
-            good = before;
+            good = forGood ? "" : before;
             release = candidate;
             candidate = "";
             deaths = 0;
@@ -254,7 +261,7 @@
         if (state == State.CHANGING || state == State.RETURNING) {
             // The one that comes finds out by itself, and serves: it is the box's only daemon now.
             act(Act.Kind.PROMOTE, Role.COMES, candidate, "the one that served has died");
-            good = state == State.CHANGING ? release : "";
+            good = state == State.CHANGING && !forGood ? release : "";
             release = candidate;
             candidate = "";
             usual = null;
@@ -296,7 +303,7 @@
             atStart = atStart == null || figures.all() < atStart.all() ? figures : atStart;
             String worse = worse(figures.since(atStart));
             last = figures;
-            if (worse != null) {
+            if (worse != null && !good.isEmpty()) {
                 takeBack(worse, now);
                 return;
             }
@@ -310,13 +317,13 @@
 
     /** What is worse than with the release before it; null where nothing is, or too little was seen to say. */
     private String worse(Figures now) {
-        if (now.all() < limits.least()) {
-            return null;
+        if (now.all() < limits.least() || usual == null) {
+            return null;   // also where the one before died within the change
         }
         double failed = (double) now.failed() / now.all();
         double refused = (double) now.refused() / now.all();
-        double failedBefore = usual == null || usual.all() == 0 ? 0 : (double) usual.failed() / usual.all();
-        double refusedBefore = usual == null || usual.all() == 0 ? 0 : (double) usual.refused() / usual.all();
+        double failedBefore = usual.all() == 0 ? 0 : (double) usual.failed() / usual.all();
+        double refusedBefore = usual.all() == 0 ? 0 : (double) usual.refused() / usual.all();
         if (failed > failedBefore + limits.failed()) {
             return String.format(Locale.ROOT, "%.1f%% failed, %.1f%% before", 100 * failed, 100 * failedBefore);
         }
--- a/src/main/java/wharftrestle/drive/Driver.java
+++ b/src/main/java/wharftrestle/drive/Driver.java
@@ -79,7 +79,7 @@
     private static final String CANNOT = "it cannot take over";
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    private record Pending(String to, double since) { }
+    private record Pending(String to, boolean back, double since) { }
 
     private final Path folder;
     private final PlanScript script;
@@ -323,7 +323,7 @@
         for (Roll.Act act : acts) {
             if (act instanceof Roll.Act.Order order) {
                 write("order", order.box(), order.to(), order.why());
-                orders.put(order.box(), new Pending(order.to(), now()));
+                orders.put(order.box(), new Pending(order.to(), roll.state() == Roll.State.RETURNING, now()));
                 events.tell(steering.epoch(), roll.stage() + 1, "tells", order.box(), "go to " + order.to() + ", "
                         + brief(order.why()));
             } else if (act instanceof Roll.Act.Claim claim) {
@@ -461,7 +461,8 @@
             }
         }
         try {
-            KeeperCall.Heard heard = calls.order(box.keeper(), epoch, steering.driver(), stamp, order.to());
+            KeeperCall.Heard heard = calls.order(box.keeper(), epoch, steering.driver(), stamp, order.to(),
+                    order.back());
             synchronized (this) {
                 if (heard.said().answer() != Fence.Answer.OBEYED) {
                     roll.notObeyed(box.name());
--- a/src/main/java/wharftrestle/drive/FleetCommand.java
+++ b/src/main/java/wharftrestle/drive/FleetCommand.java
@@ -267,17 +267,19 @@
         }
 
         private static String table(JsonNode now, boolean live) {
-            StringBuilder text = new StringBuilder();
-            text.append(String.format(Locale.ROOT, "change to %s: %s%s%nstage %d of %d, epoch %d by %s%s%nverdict %s: %s%n",
-                    now.path("to").asText("?"), now.path("state").asText(), now.path("why").asText().isEmpty() ? ""
-                    : ", " + now.path("why").asText(), now.path("stage").asInt(), now.path("stages").asInt(),
-                    now.path("epoch").asLong(), now.path("driver").asText(), live ? " (" + now.path("steering").asText()
-                    + ")"
-                    : "; NO DRIVER RUNS, this is the journal", now.path("verdict").asText("none"),
-                    now.path("verdictWhy").asText()));
+            String why = now.path("why").asText().isEmpty() ? "" : ", " + now.path("why").asText();
             if (!live) {
-                return text.toString();
+                return String.format(Locale.ROOT,
+                        "change of plan %s: %s%s%nstage %d, epoch %d by %s; no driver runs, this is its "
+                        + "journal", now.path("plan").asText(), now.path("state").asText(), why, now.path("stage").asInt(),
+                        now.path("epoch").asLong(), now.path("driver").asText());
             }
+            StringBuilder text = new StringBuilder();
+            text.append(String.format(Locale.ROOT,
+                    "change to %s: %s%s%nstage %d of %d, epoch %d by %s (%s)%nverdict %s: %s%n",
+                    now.path("to").asText(), now.path("state").asText(), why, now.path("stage").asInt(),
+                    now.path("stages").asInt(), now.path("epoch").asLong(), now.path("driver").asText(),
+                    now.path("steering").asText(), now.path("verdict").asText(), now.path("verdictWhy").asText()));
             text.append(String.format(Locale.ROOT, "%n%-16s %-10s %-16s %-10s %-10s %s%n", "box", "zone", "acts as",
                     "keeper",
                     "contact", "note"));
--- a/src/main/java/wharftrestle/drive/KeeperCall.java
+++ b/src/main/java/wharftrestle/drive/KeeperCall.java
@@ -66,8 +66,10 @@
         return post(keeper, "/ask", Map.of("epoch", epoch, "driver", driver, "stage", stage, "verdict", verdict));
     }
 
-    Heard order(String keeper, long epoch, String driver, long stamp, String to) throws IOException {
-        return post(keeper, "/order", Map.of("epoch", epoch, "driver", driver, "stamp", stamp, "to", to));
+    /** @param back from what was found bad: the keeper goes back to that by no means */
+    Heard order(String keeper, long epoch, String driver, long stamp, String to, boolean back) throws IOException {
+        return post(keeper, "/order", Map.of("epoch", epoch, "driver", driver, "stamp", stamp, "to", to,
+                "back", back));
     }
 
     /** How the box is, to anybody. */
--- a/src/test/java/wharftrestle/box/KeeperTest.java
+++ b/src/test/java/wharftrestle/box/KeeperTest.java
@@ -62,6 +62,27 @@
         assertEquals("a", keeper.release());
     }
 
+    @Test
+    void whoComesBackFromABadReleaseNeverReturnsToIt() {
+        serves("bad");
+        keeper.change("a", true, 3);
+        assertEquals(List.of("PROMOTE COMES a"), brief(keeper.died(Role.SERVES, 4)), "the bad one dies as it is replaced");
+        keeper.tick(new Figures(0, 0, 0), 5);
+        assertEquals(List.of(), brief(keeper.tick(new Figures(90, 0, 60), 7)), "what failed is the dead one's");
+        keeper.died(Role.SERVES, 8);
+        assertEquals(List.of("START SERVES a"), brief(keeper.tick(null, 10)));
+    }
+
+    @Test
+    void whereTheOneBeforeDiedWithinTheChangeItsFiguresAreNothingToBeHeldAgainst() {
+        serves("a");
+        keeper.change("b", 3);
+        keeper.died(Role.SERVES, 4);
+        keeper.tick(new Figures(0, 0, 0), 5);
+        assertEquals(List.of(), brief(keeper.tick(new Figures(90, 0, 10), 7)));
+        assertEquals("a", keeper.good(), "an operator may still go back");
+    }
+
     @Test
     void whatNeverServesIsKilledAndTheFirstOneServesOn() {
         serves("a");
