--- a/src/main/java/wharftrestle/lab/Callers.java
+++ b/src/main/java/wharftrestle/lab/Callers.java
@@ -6,7 +6,9 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -50,9 +52,14 @@
 
     /** Milliseconds of clocks' and threads' error between a kill and what was seen of it. */
     private static final long BLUR_MS = 50;
+    /** Milliseconds after a notice to leave in which what arrives may still run, as the rig's settings have it. */
+    private static final long GRACE_MS = 2000;
     /** Nanoseconds by which a paced caller may be behind and still ask what it missed. */
     private static final long PACE_BEHIND = 1_000_000_000L;
 
+    /** The box was told to leave, with nobody to follow, until another process of it began; System.nanoTime. */
+    private record Notice(long at, long until) { }
+
     /** A refusal of what had begun to run before, on the clock of System.nanoTime. */
     private record Refusal(String body, long begun, long at) { }
 
@@ -69,23 +76,27 @@
     }
 
     /**
-     * What was seen; the rules are broken where the first five are not 0. Failed after a result are keys that had theirs
+     * What was seen; the rules are broken where the first seven are not 0. Failed after a result are keys that had theirs
      * once. The slowest answer took so many ms.
      */
-    public record Tally(int runTwice, int refusedAfterRun, int otherBytes, int lost, int unknown, int runTwiceHolderKilled,
+    public record Tally(int runTwice, int refusedAfterRun, int otherBytes, int lost, int unknown, int doubled,
+                        int ranLate, int runTwiceHolderKilled,
                         int lostExcused, int served, int repeats, int again, int failed,
                         int failedAfterResult, int refused, long slowestMs) {
         /** True where no rule was broken. */
         public boolean holds() {
-            return runTwice == 0 && refusedAfterRun == 0 && otherBytes == 0 && lost == 0 && unknown == 0;
+            return runTwice == 0 && refusedAfterRun == 0 && otherBytes == 0 && lost == 0 && unknown == 0
+                    && doubled == 0 && ranLate == 0;
         }
 
         @Override
         public String toString() {
             return String.format(Locale.ROOT, "%d run twice, %d refused after a run, %d other bytes, %d lost, %d unknown "
-                    + "answers; where the only holder of keys was killed %d more run twice, by kills and cuts %d lost; "
-                    + "%d served, %d of them again, %d failed, %d refused, the slowest after %d ms; %d repeats",
-                    runTwice, refusedAfterRun, otherBytes, lost, unknown, runTwiceHolderKilled, lostExcused, served, again,
+                    + "answers, %d answered twice, %d run too late after a notice; where the only holder of keys was killed "
+                    + "%d more run twice, by kills and cuts %d lost; %d served, %d of them again, %d failed, %d refused, the "
+                    + "slowest after %d ms; %d repeats",
+                    runTwice, refusedAfterRun, otherBytes, lost, unknown, doubled, ranLate, runTwiceHolderKilled,
+                    lostExcused, served, again,
                     failed, refused, slowestMs, repeats);
         }
     }
@@ -107,6 +118,9 @@
     private final AtomicInteger otherBytes = new AtomicInteger();
     private final AtomicInteger unknown = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
+    private final AtomicInteger doubled = new AtomicInteger();
+    private final Map<String, Long> firstAsked = new ConcurrentHashMap<>();
+    private final List<Notice> notices = new CopyOnWriteArrayList<>();
     private final AtomicInteger lostExcused = new AtomicInteger();
     private final AtomicLong slowest = new AtomicLong();
     private final AtomicLong references;
@@ -157,6 +171,28 @@
         return failed.get();
     }
 
+    /** The only process of the box was told to leave then; what is first asked over two seconds later may not run. */
+    public void noticed(long at) {
+        notices.add(new Notice(at, Long.MAX_VALUE));
+    }
+
+    /** Another process of the box begins after a notice. */
+    public void begins(long at) {
+        notices.replaceAll(each -> each.until() == Long.MAX_VALUE ? new Notice(each.at(), at) : each);
+    }
+
+    private int ranLate() {
+        int late = 0;
+        for (String name : pool.names()) {
+            long asked = firstAsked.getOrDefault(name, Long.MIN_VALUE);
+            for (Notice notice : notices) {
+                boolean after = asked > notice.at() + TimeUnit.MILLISECONDS.toNanos(GRACE_MS + BLUR_MS);
+                late += after && pool.begun(name).stream().anyMatch(at -> at < notice.until()) ? 1 : 0;
+            }
+        }
+        return late;
+    }
+
     /** Requests that were refused up to now. */
     public int refused() {
         return refused.get();
@@ -202,7 +238,8 @@
             }
         }
         int afterRun = (int) refusals.stream().filter(each -> !forgottenBetween(each.begun(), each.at())).count();
-        return new Tally(twice, afterRun, otherBytes.get(), lost.get(), unknown.get(), twiceHolderKilled, lostExcused.get(),
+        return new Tally(twice, afterRun, otherBytes.get(), lost.get(), unknown.get(), doubled.get(),
+                ranLate(), twiceHolderKilled, lostExcused.get(),
                 served.get(), repeats.get(), again.get(), failed.get(), failedAfterResult.get(), refused.get(),
                 TimeUnit.NANOSECONDS.toMillis(slowest.get()));
     }
@@ -232,6 +269,7 @@
                 }
                 desk = desk != null ? desk : new Desk(to, clock);
                 long asked = System.nanoTime();
+                firstAsked.putIfAbsent(key.body, asked);
                 RespPeer.Reply reply = desk.ask("save", references.incrementAndGet(), key.name, key.body);
                 slowest.accumulateAndGet(System.nanoTime() - asked, Math::max);
                 lostKey = null;
@@ -240,6 +278,9 @@
                 if (habit.everyMs() <= 0) {
                     LockSupport.parkNanos(random.nextInt(habit.thinkMs()) * 1_000_000L);
                 }
+            } catch (Desk.DoubledException twice) {
+                doubled.incrementAndGet();
+                desk = null;
             } catch (IOException ended) {
                 (excused.getAsBoolean() ? lostExcused : lost).incrementAndGet();
                 try {
--- a/src/main/java/wharftrestle/lab/Desk.java
+++ b/src/main/java/wharftrestle/lab/Desk.java
@@ -36,8 +36,20 @@
         }
     }
 
+    /** A request that had its answer has another one. */
+    static final class DoubledException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        DoubledException(String message) {
+            super(message);
+        }
+    }
+
     private void remark(Reply reply) throws IOException {
         closing |= reply.tag().equals("0") && reply.word().equals("closing");
+        if (reply.tag().matches("[1-9][0-9]{0,8}") && Integer.parseInt(reply.tag()) <= tag) {
+            throw new DoubledException("a second answer to " + reply.tag());
+        }
         if (!reply.tag().equals("0")) {
             throw new IOException("an answer to " + reply.tag() + ", which was not asked");
         }
--- a/src/main/java/wharftrestle/lab/FaultScript.java
+++ b/src/main/java/wharftrestle/lab/FaultScript.java
@@ -36,7 +36,7 @@
     /** What can be done: to a path of a box, or to its process. */
     public enum Kind {
         CUT, HEAL, REFUSE, HALF_CLOSE, HOLE, DELAY, RATE, DROP, DOUBLE, REORDER, STOP, GO, KILL, START, CHANGE,
-        HOLD, FREE, CLOCK
+        HOLD, FREE, CLOCK, LEAVE
     }
 
     /**
@@ -70,7 +70,7 @@
         }
         WORDS.put("hold", List.of("box", "cores"));
         WORDS.put("clock", List.of("box", "ms"));
-        for (String word : List.of("stop", "go", "kill", "start", "change", "free")) {
+        for (String word : List.of("stop", "go", "kill", "start", "change", "free", "leave")) {
             WORDS.put(word, List.of("box"));
         }
     }
--- a/src/main/java/wharftrestle/lab/FleetFloor.java
+++ b/src/main/java/wharftrestle/lab/FleetFloor.java
@@ -317,6 +317,7 @@
             all.merge("other bytes", tally.otherBytes(), Integer::sum);
             all.merge("lost", tally.lost(), Integer::sum);
             all.merge("unknown", tally.unknown(), Integer::sum);
+            all.merge("answered twice", tally.doubled(), Integer::sum);
         }
         all.values().removeIf(many -> many == 0);
         return all;
--- a/src/main/java/wharftrestle/lab/Scenario.java
+++ b/src/main/java/wharftrestle/lab/Scenario.java
@@ -26,6 +26,8 @@
     /** Milliseconds after a kill, cut or stop in which a connection may end without its answer. */
     private static final long EXCUSE_MS = 2000;
     private static final long KEY_MS = 9000;
+    /** Milliseconds in which a process that was told to leave, or killed, has ended. */
+    private static final long LEAVE_MS = 8000;
 
     private static final class Box {
         private final String name;
@@ -199,7 +201,20 @@
                     box.callers.forgotten(System.nanoTime());
                 }
             }
+            case LEAVE -> {
+                // Nobody follows: its connections end with it, and what it knew ends as well.
+                box.troubled = true;
+                box.callers.noticed(System.nanoTime());
+                box.serves.term();
+            }
             case START -> {
+                if (box.serves.awaitEnd(LEAVE_MS) < 0) {
+                    throw new IOException(box.name + " did not leave:\n" + box.serves.log());
+                }
+                box.callers.begins(System.nanoTime());
+                if (!script.play().kept()) {
+                    box.callers.forgotten(System.nanoTime());
+                }
                 box.serves = begin(box);
                 if (!box.serves.awaitReady(READY_MS)) {
                     throw new IOException(box.name + " did not start again:\n" + box.serves.log());
--- a/src/test/java/wharftrestle/lab/LabTest.java
+++ b/src/test/java/wharftrestle/lab/LabTest.java
@@ -249,7 +249,8 @@
 
     // ---- Checkers: each is seen to fail on a daemon that breaks its rule ----
 
-    private enum Mutant { NONE, RUNS_TWICE, REFUSES_AFTER_RUN, GIVES_OTHER_BYTES, LOSES, SAYS_WHAT_NOBODY_KNOWS }
+    private enum Mutant { NONE, RUNS_TWICE, REFUSES_AFTER_RUN, GIVES_OTHER_BYTES, LOSES, SAYS_WHAT_NOBODY_KNOWS,
+            ANSWERS_TWICE, RUNS_AFTER_ITS_NOTICE }
 
     /** A daemon in one thread that knows each key's result, and breaks one rule where it is told to. */
     private static Callers.Tally play(Mutant mutant) throws Exception {
@@ -268,6 +269,9 @@
             daemon.start();
             Callers callers = new Callers((InetSocketAddress) front.getLocalSocketAddress(), pool, System::currentTimeMillis,
                     Callers.Habit.of(1, 9000), 11, () -> false);
+            if (mutant == Mutant.RUNS_AFTER_ITS_NOTICE) {
+                callers.noticed(System.nanoTime() - TimeUnit.SECONDS.toNanos(3));
+            }
             callers.start();
             long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
             while (callers.served() < 60 && System.nanoTime() < until
@@ -313,6 +317,9 @@
                 }
                 byte[] told = again && mutant == Mutant.GIVES_OTHER_BYTES
                         ? Bytes.join(result, Bytes.ascii("!")) : result;
+                if (mutant == Mutant.ANSWERS_TWICE && request == 9) {
+                    out.write(reply(words[1], "done", told));
+                }
                 out.write(reply(words[1], mutant == Mutant.SAYS_WHAT_NOBODY_KNOWS ? "perhaps" : "done", told));
             }
         } catch (IOException ended) {
@@ -334,6 +341,8 @@
         assertTrue(play(Mutant.GIVES_OTHER_BYTES).otherBytes() > 0);
         assertTrue(play(Mutant.LOSES).lost() > 0);
         assertTrue(play(Mutant.SAYS_WHAT_NOBODY_KNOWS).unknown() > 0);
+        assertTrue(play(Mutant.ANSWERS_TWICE).doubled() > 0);
+        assertTrue(play(Mutant.RUNS_AFTER_ITS_NOTICE).ranLate() > 0);
     }
 
     @Test
@@ -380,6 +389,17 @@
         assertTrue(tally.path("failed").asInt() + tally.path("refused").asInt() < 20, "it served on: " + tally);
     }
 
+    @Test
+    void aBoxThatIsToldToLeaveRunsNothingThatCameTooLateAndStartsAgain() throws Exception {
+        FaultScript script = FaultScript.parse("f.star", """
+                play(seconds = 9, boxes = 1, callers = 3, seed = 8, kept = True)
+                at(1.5, leave("b1"))
+                at(5.5, start("b1"))
+                """);
+        ByteArrayOutputStream results = new ByteArrayOutputStream();
+        assertTrue(new Scenario(script, null, System.out, new PrintStream(results)).play(), results.toString());
+    }
+
     @Test
     void aPlayWithFaultsBetweenRealProcessesKeepsTheRules() throws Exception {
         FaultScript script = FaultScript.parse("f.star", """
