--- a/src/main/java/wharftrestle/lab/Callers.java
+++ b/src/main/java/wharftrestle/lab/Callers.java
@@ -92,9 +92,9 @@
         @Override
         public String toString() {
             return String.format(Locale.ROOT, "%d run twice, %d refused after a run, %d other bytes, %d lost, %d unknown "
-                    + "answers, %d answered twice, %d run too late after a notice; where the only holder of keys was "
-                    + "killed %d more run twice, by kills and cuts %d lost; %d served, %d of them again, %d failed, %d refused, the "
-                    + "slowest after %d ms; %d repeats",
+                    + "answers, %d answered twice, %d run too late after a notice; "
+                    + "where the only holder of keys was killed %d more run twice, by kills and cuts %d lost; "
+                    + "%d served, %d of them again, %d failed, %d refused, the slowest after %d ms; %d repeats",
                     runTwice, refusedAfterRun, otherBytes, lost, unknown, doubled, ranLate, runTwiceHolderKilled,
                     lostExcused, served, again,
                     failed, refused, slowestMs, repeats);
