--- a/src/test/java/wharftrestle/box/BoxTest.java
+++ b/src/test/java/wharftrestle/box/BoxTest.java
@@ -295,6 +295,23 @@
         assertTrue(status().path("reason").asText().contains("it died"));
     }
 
+    @Test
+    void aJournalThatMayNotGrowAnyMoreKeepsItsWholeStepsAlone() throws Exception {
+        Path file = folder.resolve("full.jsonl");
+        String classes = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+        // A limit of the file's size stands in for a disk that is full within a step.
+        Process writes = new ProcessBuilder("sh", "-c", "ulimit -f 16; exec \"$@\"", "sh", System.getProperty("java.home")
+                + "/bin/java", "-XX:-UsePerfData", "-Xmx32m", "-cp", classes, "wharftrestle.box.FullDisk",
+                file.toString()).start();
+        int written = Integer.parseInt(new String(writes.getInputStream().readAllBytes(), StandardCharsets.UTF_8).trim());
+        assertTrue(writes.waitFor(20, TimeUnit.SECONDS) && written > 10, "the file was never full: " + written);
+        try (StepLog steps = new StepLog(file)) {
+            assertEquals(written, steps.entries().size());
+            steps.add(new StepLog.Entry(1, "said", "SERVES", "one", "", 0, 0, 0, "there is room again"));
+        }
+        assertEquals(written + 1, JsonLog.read(file, StepLog.Entry.class).size(), "no half step lies between");
+    }
+
     @Test
     void theJournalIsCutAtItsLastWholeLineAndNeverBelievedInPart() throws Exception {
         Path file = folder.resolve("steps.jsonl");
--- a/src/test/java/wharftrestle/prove/Unfenced.java
+++ b/src/test/java/wharftrestle/prove/Unfenced.java
@@ -44,16 +44,13 @@
                 ObjectNode asked = body.length == 0 ? null : (ObjectNode) JSON.readTree(body);
                 if (asked != null) {
                     boolean order = call.getRequestURI().getPath().equals("/order");
-                    String target = asked.path("to").asText();
-                    ObjectNode one = asked.deepCopy().put("driver", "anybody").put("epoch", order ? epoch(target) : 1);
+                    ObjectNode one = asked.deepCopy().put("driver", "anybody").put("epoch", Math.max(1, newest));
                     if (order) {
-                        // An epoch for each release, so that nothing but the driver's own lease holds an order up.
-                        ObjectNode claim = JSON.createObjectNode().put("driver", "anybody").put("epoch", epoch(target));
+                        // A new epoch for each order, so that nothing but the driver's own lease holds it up.
+                        ObjectNode claim = JSON.createObjectNode().put("driver", "anybody").put("epoch", epoch());
                         ObjectNode granted = send(client, HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + behind
                                 + "/claim")).POST(HttpRequest.BodyPublishers.ofString(claim.toString())).build());
                         one.put("epoch", granted.path("epoch").asLong()).put("stamp", granted.path("stamp").asLong());
-                    } else {
-                        one.put("epoch", Math.max(1, newest));
                     }
                     request.POST(HttpRequest.BodyPublishers.ofString(one.toString()));
                 }
@@ -74,10 +71,10 @@
         Main.main(words.toArray(new String[0]));
     }
 
-    private static long newest = 1;
+    private static volatile long newest = 1;
 
     /** A new epoch for each order. */
-    private static synchronized long epoch(String target) {
+    private static synchronized long epoch() {
         return ++newest;
     }
 
