--- a/src/main/java/wharftrestle/lab/virtual/RollPlay.java
+++ b/src/main/java/wharftrestle/lab/virtual/RollPlay.java
@@ -38,6 +38,8 @@
         REFUSES,
         /** Loses ten of a hundred, from two minutes after its start on. */
         LATE_FAULT,
+        /** Loses ten of a hundred once more than half of the boxes have it; its plan has a stage just beyond that. */
+        OVER_HALF,
         /** Dies nine seconds after each start. */
         CRASHES,
         /** Grows by 20 MB a minute. */
@@ -93,6 +95,7 @@
     private static final double WARM = 25;
     /** Of the plain comparison: half way between nothing and a loss of 3%. */
     private static final double PLAIN_BOUND = 0.015;
+    private static final double NOT_YET = 1e9;
     private static final String OLD = "old";
     private static final String NEW = "new";
 
@@ -132,8 +135,13 @@
             limits.put(measure, measure.limit());
         }
         List<Plan.Box> boxes = fleet.boxes.stream().map(box -> new Plan.Box(box.name, box.zone, "", List.of())).toList();
-        plan = new Plan(NEW, boxes, List.of(new Plan.Stage(1, 0, false, 120), new Plan.Stage(0, 0.25, true, 120),
-                new Plan.Stage(0, 1, true, 60)), limits, 0.05, 2, 2, WARM, 1800, Plan.WhenCut.HOLD, Plan.WhenWorse.BACK);
+        List<Plan.Stage> stages = new ArrayList<>(List.of(new Plan.Stage(1, 0, false, 120), new Plan.Stage(0, 0.25, true,
+                120),
+                new Plan.Stage(0, 1, true, 60)));
+        if (release == Release.OVER_HALF) {
+            stages.add(2, new Plan.Stage(0, 0.6, true, 120));
+        }
+        plan = new Plan(NEW, boxes, stages, limits, 0.05, 2, 2, WARM, 1800, Plan.WhenCut.HOLD, Plan.WhenWorse.BACK);
         boxes.forEach(box -> acts.put(box.name(), OLD));
     }
 
@@ -152,7 +160,7 @@
         switch (release) {
             case LOSES_3 -> Arrays.fill(fails, 0.03);
             case LOSES_5 -> Arrays.fill(fails, 0.05);
-            case LOSES_10, LATE_FAULT -> Arrays.fill(fails, 0.1);
+            case LOSES_10, LATE_FAULT, OVER_HALF -> Arrays.fill(fails, 0.1);
             case FAILS_A_CLASS -> fails[classes - 1] = 0.3;
             case MIXED -> fails[classes - 1] = 0.02;
             default -> { }
@@ -163,6 +171,7 @@
             case SLOWER -> new VirtualBox.Flaw(0.5, fails, 0, 0, 0, 0);
             case REFUSES -> new VirtualBox.Flaw(0, fails, 0.1, 0, 0, 0);
             case LATE_FAULT -> new VirtualBox.Flaw(0, fails, 0, 0, 0, 120);
+            case OVER_HALF -> new VirtualBox.Flaw(0, fails, 0, 0, 0, NOT_YET);
             case CRASHES -> new VirtualBox.Flaw(0, fails, 0, 9, 0, 0);
             case LEAKS -> new VirtualBox.Flaw(0, fails, 0, 0, 20, 0);
             default -> new VirtualBox.Flaw(0, fails, 0, 0, 0, 0);
@@ -193,6 +202,10 @@
                 trouble(now);
                 carryOut(roll.look(shows(), verdict(now), true, now), now);
             }
+            long have = acts.values().stream().filter(NEW::equals).count();
+            if (release == Release.OVER_HALF && have * 2 > fleet.boxes.size()) {
+                fleet.boxes.stream().filter(box -> acts.get(box.name).equals(NEW)).forEach(VirtualBox::show);
+            }
             most = Math.max(most, (int) acts.values().stream().filter(NEW::equals).count());
             if (verdictAt < 0 && roll != null && roll.state() == Roll.State.RETURNING) {
                 verdictAt = now - firstNew;
--- a/src/main/java/wharftrestle/lab/virtual/VirtualBox.java
+++ b/src/main/java/wharftrestle/lab/virtual/VirtualBox.java
@@ -103,6 +103,7 @@
     private double trouble = 1;                  // factor on its speed
     private boolean up;
     private boolean healthy = true;
+    private boolean shown;
     private long ids;
     private long epoch;                          // of plans made for the next end of work
     private double lastAt;
@@ -127,6 +128,7 @@
         double now = agenda.now();
         process++;
         flaw = of;
+        shown = false;
         startedAt = warm ? agenda.now() - 10 * settings.coldFor() : agenda.now();
         up = true;
         healthy = true;
@@ -195,7 +197,12 @@
     }
 
     private boolean shows(double now) {
-        return now - startedAt >= flaw.after();
+        return shown || now - startedAt >= flaw.after();
+    }
+
+    /** What its release does worse shows from now on. */
+    void show() {
+        shown = true;
     }
 
     // ---- Requests ----
