Let a checker tell the driver of a broken rule, and drop what nothing reads

Need: a broken rule of the new release stops a change at once, and no box can see its own. fleet roll broken BOX WHAT says so; DriverTest has the story. Shows.deaths and two readers of the judge had no use.

--- a/src/main/java/wharftrestle/drive/BoxView.java
+++ b/src/main/java/wharftrestle/drive/BoxView.java
@@ -72,7 +72,7 @@
         boolean carried = ours && shown.path("told").asText().equals(fence.target())
                 && shown.path("attempt").asInt() == fence.attempt();
         return new Roll.Shows(contact, acts(), shown.path("settled").asBoolean(), ours ? fence.target() : "",
-                !ours ? 0 : carried ? fence.attempt() : fence.attempt() - 1, carried ? failed() : "", 0);
+                !ours ? 0 : carried ? fence.attempt() : fence.attempt() - 1, carried ? failed() : "");
     }
 
     /**
--- a/src/main/java/wharftrestle/drive/Driver.java
+++ b/src/main/java/wharftrestle/drive/Driver.java
@@ -515,7 +515,17 @@
         synchronized (this) {
             try {
                 double now = now();
-                switch (order) {
+                String[] words = order.split(" ", 3);
+                switch (words[0]) {
+                    case "broken" -> {
+                        if (words.length < 3 || plan.box(words[1]) == null || judge == null) {
+                            return "no " + (judge == null ? "nothing is watched yet"
+                                    : "name a box of the plan, and what it broke");
+                        }
+                        judge.broke(words[1], brief(words[2]));
+                        verdict = judge.verdict();
+                        events.tell(steering.epoch(), roll.stage() + 1, "is told of a broken rule", words[1], words[2]);
+                    }
                     case "status" -> {
                         return "ok " + JSON.writeValueAsString(status());
                     }
--- a/src/main/java/wharftrestle/drive/FleetCommand.java
+++ b/src/main/java/wharftrestle/drive/FleetCommand.java
@@ -84,7 +84,7 @@
 
     /** The change itself. */
     @Command(name = "roll", description = "drive a rolling change, and steer the one that is under way",
-            subcommands = {Start.class, Status.class, Pause.class, Go.class, Back.class, Abort.class})
+            subcommands = {Start.class, Status.class, Pause.class, Go.class, Back.class, Abort.class, Broken.class})
     static final class RollCommand implements Runnable {
         @CommandLine.Spec
         private CommandLine.Model.CommandSpec spec;
@@ -92,7 +92,7 @@
         @Override
         public void run() {
             throw new CommandLine.ParameterException(spec.commandLine(),
-                    "name a command: fleet roll start, status, pause, go, back or abort");
+                    "name a command: fleet roll start, status, pause, go, back, abort or broken");
         }
     }
 
@@ -191,6 +191,21 @@
         }
     }
 
+    /** Tells of a broken rule. */
+    @Command(name = "broken", description = "a rule was broken at a box by the new release: the stage is worse at once")
+    static final class Broken extends Ordered {
+        @Parameters(paramLabel = "BOX", index = "0")
+        private String box;
+
+        @Parameters(paramLabel = "WHAT", index = "1", description = "such as \"a key ran twice\"")
+        private String what;
+
+        @Override
+        String order() {
+            return "broken " + box + " " + what.replaceAll("\\s+", " ");
+        }
+    }
+
     /** Ends it. */
     @Command(name = "abort", description = "end the change and leave every box as it is")
     static final class Abort extends Ordered {
--- a/src/main/java/wharftrestle/fleet/Judge.java
+++ b/src/main/java/wharftrestle/fleet/Judge.java
@@ -52,7 +52,6 @@
 
     private final Map<Measure, Double> limits;
     private final double error;              // of one measure in one stage
-    private final List<String> classes;
     private final Map<String, Drift> usual = new LinkedHashMap<>();     // by box and series: its difference when it was old
     private final Map<String, Series> series = new LinkedHashMap<>();
     private final Map<String, Integer> deaths = new LinkedHashMap<>();  // at each box that has the new release
@@ -62,7 +61,6 @@
     private double newTime;                  // windows of all new boxes
     private double oldTime;
     private String broken = "";
-    private long windows;
     private long judged;
 
     private static final class Series {
@@ -84,7 +82,6 @@
      */
     public Judge(Map<Measure, Double> limits, List<String> classes, int stages, double errors) {
         this.limits = Map.copyOf(limits);
-        this.classes = List.copyOf(classes);
         for (Measure measure : Measure.values()) {
             if (!limits.containsKey(measure)) {
                 continue;
@@ -107,7 +104,6 @@
             each.drift = new Drift();
             each.asked = 0;
         });
-        windows = 0;
         judged = 0;
     }
 
@@ -152,7 +148,6 @@
 
     /** One window of all boxes. */
     public void window(List<Sample> boxes) {
-        windows++;
         long changed = boxes.stream().filter(Sample::changed).count();
         newTime += changed;
         oldTime += boxes.size() - changed;
@@ -341,14 +336,4 @@
                 name(of), shown.applyAsDouble(of.drift.mean()), unit, shown.applyAsDouble(of.drift.mean() - width),
                 shown.applyAsDouble(of.drift.mean() + width), shown.applyAsDouble(limit));
     }
-
-    /** The classes it looks at. */
-    public List<String> classes() {
-        return classes;
-    }
-
-    /** Windows of this stage, and those of them in which anything could be compared. */
-    public long[] windows() {
-        return new long[] {windows, judged};
-    }
 }
--- a/src/main/java/wharftrestle/fleet/Roll.java
+++ b/src/main/java/wharftrestle/fleet/Roll.java
@@ -66,10 +66,8 @@
      * @param target   the release it was last told in the epoch that steers; empty for none
      * @param attempt  how often it was told
      * @param failed   why its last change was undone by itself; empty for nothing
-     * @param deaths   of daemons of the release that it was told, or acts as, since its keeper began
      */
-    public record Shows(boolean contact, String acts, boolean settled, String target, int attempt, String failed,
-                        int deaths) { }
+    public record Shows(boolean contact, String acts, boolean settled, String target, int attempt, String failed) { }
 
     /** What is to be done; each is written to the journal before it is done. */
     public sealed interface Act {
--- a/src/main/java/wharftrestle/lab/virtual/RollPlay.java
+++ b/src/main/java/wharftrestle/lab/virtual/RollPlay.java
@@ -258,7 +258,7 @@
         for (VirtualBox box : fleet.boxes) {
             all.put(box.name, new Roll.Shows(fleet.reached(box), acts.get(box.name), !changingUntil.containsKey(box.name)
                     && box.up(), target.getOrDefault(box.name, ""), attempt.getOrDefault(box.name, 0),
-                    failed.getOrDefault(box.name, ""), 0));
+                    failed.getOrDefault(box.name, "")));
         }
         return all;
     }
--- a/src/test/java/wharftrestle/drive/DriverTest.java
+++ b/src/test/java/wharftrestle/drive/DriverTest.java
@@ -185,9 +185,10 @@
             while (!order("d1", "status").contains("\"steering\":\"steering\"")) {
                 TimeUnit.MILLISECONDS.sleep(50);
             }
-            assertTrue(order("d1", "back").startsWith("ok the change is returning"));
+            assertEquals("no name a box of the plan, and what it broke", order("d1", "broken b9 x"));
+            assertTrue(order("d1", "broken b1 a key ran twice").startsWith("ok "));
             assertEquals(Driver.End.UNDONE, end.get(20, TimeUnit.SECONDS));
-            assertEquals(List.of("b1 two", "b1 one"), obeyed);
+            assertEquals(List.of("b1 two", "b1 one"), obeyed, "a broken rule is worse at once");
         }
     }
 
--- a/src/test/java/wharftrestle/fleet/RollTest.java
+++ b/src/test/java/wharftrestle/fleet/RollTest.java
@@ -59,7 +59,7 @@
         Map<String, Roll.Shows> shows() {
             Map<String, Roll.Shows> all = new LinkedHashMap<>();
             boxes.forEach((name, each) -> all.put(name, new Roll.Shows(each.contact, each.acts, !each.changing(now),
-                    each.target, each.attempt, each.failed, 0)));
+                    each.target, each.attempt, each.failed)));
             return all;
         }
 
