Keep descriptors for links, calls and operators, and get out where none is left

Seen: a real process with 96 descriptors (FullDescriptorsTest), as it was: once idle clients held the last descriptor, accept failed for good. Room is made as a connection is accepted, and none could be, so nobody with work got in, nor operators, and the log said so twice a second until the clients went. Ruled out: the bound by limits.sockets, which held; it reckoned with no files of the process's own, no store calls, no link.

Lines: Lifecycle's CALLERS_SHARE alone bounded callers; Server.accept tried again and let nobody go.

--- a/src/main/java/wharftrestle/ConfigWatch.java
+++ b/src/main/java/wharftrestle/ConfigWatch.java
@@ -27,7 +27,7 @@
     }
 
     void start() {
-        Core.thread("config-watch", () -> {
+        Core.lasting("config-watch", () -> {
             for (;;) {
                 LockSupport.parkNanos(EVERY_MS * 1_000_000L);
                 look();
--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -18,6 +18,7 @@
 import wharftrestle.keys.KeyRoom;
 import wharftrestle.keys.KeyTable;
 import wharftrestle.net.Config;
+import wharftrestle.net.Descriptors;
 import wharftrestle.net.PoolLink;
 import wharftrestle.net.Reporter;
 import wharftrestle.net.Server;
@@ -51,11 +52,6 @@
         }
     }
 
-    /**
-     * Part of the descriptors that all callers may hold: front ends open at most half, and whoever else
-     * connects must not fill that.
-     */
-    private static final double CALLERS_SHARE = 0.6;
     /**
      * Connections for each core of its share. Whoever holds a process to its share by stopping it wakes each of its
      * threads every time, at its cost: 0.9 ms a second for a thread, idle or not. With 490 of them at half a core that
@@ -75,8 +71,6 @@
     private static final int LEAST = 16;
     /** Part of that which uwsgi gateways have, where they are let in. */
     private static final double UWSGI_PART = 0.25;
-    /** Operators' calls at once, with those that never come whole. */
-    private static final int MOST_CALLS = 16;
     /** Seconds before the process is stopped by which all answers are out, even on crowded cores. */
     private static final double SPARE = 0.5;
     /** Seconds before the stop at which peers that have not closed are no longer waited for. */
@@ -150,19 +144,22 @@
         double heap = Math.min(HEAP_MB, Runtime.getRuntime().maxMemory() / 1048576.0);
         int threads = (int) (((1 - MARGIN) * config.memoryMb() - BASE_MB - heap) / THREAD_MB);
         mostRequests = Math.max(LEAST, Math.min(MOST_IN_HAND, threads / 2));
-        int callers = (int) Math.min(CALLERS_SHARE * config.sockets(), CALLERS_PER_CORE * config.cores());
+        Descriptors descriptors = Descriptors.of(config.sockets());
+        int callers = (int) Math.min(descriptors.callers(), CALLERS_PER_CORE * config.cores());
         mostCallers = Math.max(LEAST, Math.min(callers, threads - mostRequests));
         mostGateways = appliance.uwsgi() == null ? 0 : (int) (UWSGI_PART * mostCallers);
         counters = new Counters(config.settings().classes().stream().map(Admission.RequestClass::name).toList());
         core = new Core(config.settings(), config.seed(), mostRequests, room, GroupEdfScheduler::new, counters);
         pool = new PoolLink(config.pool(), core, counters);
-        store = new StoreClient(config.db(), counters);
+        store = new StoreClient(config.db(), descriptors.calls(), counters);
         reporter = new Reporter(config.name(), config.naming(), counters);
-        resp = new Server("resp", config.listen(), mostCallers - mostGateways, new Resp(core, counters), counters);
+        resp = new Server("resp", config.listen(), mostCallers - mostGateways,
+                descriptors.leaving() - (mostGateways > 0 ? descriptors.gatewaysLeaving() : 0), new Resp(core, counters), counters);
         uwsgi = appliance.uwsgi() == null ? null : new Server("uwsgi", appliance.uwsgi(), mostGateways,
-                new Uwsgi(core, counters, config.seed(), appliance.heldKb()), counters);
+                descriptors.gatewaysLeaving(), new Uwsgi(core, counters, config.seed(), appliance.heldKb()), counters);
         InetSocketAddress at = config.console() != null ? config.console() : appliance.control();
-        door = at == null ? null : new Server("door", at, MOST_CALLS, new Door(this), counters);
+        door = at == null ? null : new Server("door", at, descriptors.operators(), descriptors.operatorsLeaving(),
+                new Door(this), counters);
         journal = appliance.durable() == null ? null : new Journal(appliance.durable());
         if (journal != null) {
             core.record(journal);
--- a/src/main/java/wharftrestle/core/Core.java
+++ b/src/main/java/wharftrestle/core/Core.java
@@ -257,6 +257,7 @@
     public static Thread thread(String name, Runnable body) {
         Thread thread = new Thread(null, body, name, STACK);
         thread.setDaemon(true);
+        thread.setUncaughtExceptionHandler((ended, fault) -> Logger.error(fault, "thread {} ended by a fault", name));
         return thread;
     }
 
--- a/src/main/java/wharftrestle/durable/Journal.java
+++ b/src/main/java/wharftrestle/durable/Journal.java
@@ -376,7 +376,7 @@
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } catch (RuntimeException fault) {
+        } catch (RuntimeException | Error fault) {
             Logger.error(fault, "kept results");
             state = State.FAILED;
         } finally {
--- a/src/main/java/wharftrestle/lab/WorkerPool.java
+++ b/src/main/java/wharftrestle/lab/WorkerPool.java
@@ -68,6 +68,7 @@
     private final int longestResult;
     private final long startedAt;
     private volatile Moments moments;
+    private boolean late;
 
     /**
      * @param runs          of an earlier stand-in at another address, which go on; null for none
@@ -85,6 +86,7 @@
         peer = new PoolPeer(new PoolPeer.Script() {
             @Override
             public boolean binds(PoolPeer.Link link, int read) throws IOException {
+                awaitUp();
                 links.put(link, new AtomicInteger(read));
                 link.say("bound old " + (System.nanoTime() - startedAt) / 1_000_000 + "\r\n");
                 return true;
@@ -101,6 +103,22 @@
         }).start();
     }
 
+    /** Links are taken and 'bound' is not said until this is over, as while a worker pool comes up. */
+    public synchronized void late(boolean now) {
+        late = now;
+        notifyAll();
+    }
+
+    private synchronized void awaitUp() {
+        try {
+            while (late) {
+                wait();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     InetSocketAddress address() {
         return peer.address();
     }
--- a/src/main/java/wharftrestle/net/BoxLink.java
+++ b/src/main/java/wharftrestle/net/BoxLink.java
@@ -16,6 +16,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.locks.LockSupport;
 import org.tinylog.Logger;
 import wharftrestle.core.Core;
 import wharftrestle.core.Partner;
@@ -51,6 +52,8 @@
     private static final long SURELY_MS = 1000;
     /** Milliseconds for which the words of settled keys wait at most: waiting for a stopped process costs nothing. */
     private static final long PATIENCE_MS = 10_000;
+    /** Nanoseconds between two tries to hear who comes, where descriptors are short. */
+    private static final long AGAIN_NANOS = 200_000_000L;
     private static final byte[] CRLF = {'\r', '\n'};
     /** Words of keys that are over which wait to be written at most: a full table is never in the heap twice. */
     private static final int MOST_OVER = 16;
@@ -98,19 +101,23 @@
         }
         Semaphore links = new Semaphore(MOST_LINKS);
         Core.thread("box-accept", () -> {
-            try {
-                for (;;) {
+            while (server.isOpen()) {
+                try {
                     links.acquire();
                     BoxLink link = new BoxLink(server.accept(), core, side);
                     Core.thread("box", () -> {
                         link.converse();
                         links.release();
                     }).start();
+                } catch (IOException | RuntimeException | Error e) {
+                    // Guards against a box that no process can take over any more, as descriptors were short once.
+                    Logger.debug("hand-over: {}", e.toString());
+                    links.release();
+                    LockSupport.parkNanos(AGAIN_NANOS);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                    return;
                 }
-            } catch (IOException e) {
-                Logger.debug("hand-over: {}", e.toString());
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
             }
         }).start();
         return server;
--- a/src/main/java/wharftrestle/net/Connection.java
+++ b/src/main/java/wharftrestle/net/Connection.java
@@ -22,7 +22,9 @@
     public enum Merit { SILENT, HEARD, SERVED }
 
     /** Milliseconds in which a peer that was told to go may do so: longer than a process stands still for its share. */
-    public static final int GO_MS = 300;
+    static final int GO_MS = 300;
+    /** The same where nothing presses: with room short, the first told go sooner. */
+    static final int REST_MS = 1000;
     /** Milliseconds in which a peer may end its side once ours is shut; then the socket is closed over what it still sends. */
     static final int LINGER_MS = 500;
     /** Bytes that are read and dropped at most: more is no message on its way but a flood. */
@@ -176,7 +178,13 @@
 
     /** Tells its peer, once, that no new request may come here; what crosses that word is still taken and answered. */
     public void goAway() {
-        if (state.goAway(System.nanoTime())) {
+        goAway(REST_MS);
+    }
+
+    /** The same with so many ms in which its peer may go by itself. */
+    void goAway(int millis) {
+        long now = System.nanoTime();
+        if (state.goAway(now, now + millis * 1_000_000L)) {
             front.sayClosing(this);
         }
     }
@@ -206,7 +214,7 @@
             cutUnread();
         } else if (state.since(Phase.HALF_CLOSED, now) > LINGER_MS * 1_000_000L) {
             close();
-        } else if (state.since(Phase.GOING_AWAY, now) > GO_MS * 1_000_000L && quiet()) {
+        } else if (state.goneBy(now) && quiet()) {
             finish();
         }
     }
--- a/src/main/java/wharftrestle/net/ConnectionState.java
+++ b/src/main/java/wharftrestle/net/ConnectionState.java
@@ -51,6 +51,7 @@
     private long reads;
     private long quietReads = -1;  // what reads was at the last look that found it quiet
     private long movedAt;          // when the present phase began
+    private long goBy;             // once its peer was told to go
 
     /** Under the lock as all else: a look without it would see the instant between two steps that are one. */
     synchronized Phase phase() {
@@ -141,15 +142,22 @@
 
     // ---- Its end ----
 
-    /** Its peer is to hear that no request may come any more; true for the one who has to say so. */
-    synchronized boolean goAway(long now) {
+    /** Its peer is to hear that no request may come any more, and go by then; true for the one who has to say so. */
+    synchronized boolean goAway(long now, long by) {
         if (phase != Phase.OPEN) {
+            goBy = Math.min(goBy, by);
             return false;
         }
         move(Phase.GOING_AWAY, now);
+        goBy = by;
         return true;
     }
 
+    /** True where its peer was told to go and has had the time for it. */
+    synchronized boolean goneBy(long now) {
+        return phase == Phase.GOING_AWAY && now > goBy;
+    }
+
     /** Nothing is taken from now on. */
     synchronized Act finish(long now) {
         if (!deaf()) {
--- a/src/main/java/wharftrestle/net/Server.java
+++ b/src/main/java/wharftrestle/net/Server.java
@@ -1,6 +1,7 @@
 package wharftrestle.net;
 
 import java.io.Closeable;
+import java.io.FileInputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -53,9 +54,6 @@
     }
 
     private static final int MOST_TRIES = 8;
-    /** Connections beyond the most that may be about to close, and newcomers turned away that have yet to hear so. */
-    private static final int MOST_DEPARTING = 16;
-    private static final int MOST_TURNED_AWAY = 8;
     /** Nanoseconds in which a peer may be writing its first message still. */
     private static final long FIRST_NANOS = 2_300_000_000L;
     /** Nanoseconds of silence after which one that had its answers is worth less than one that writes. */
@@ -68,6 +66,8 @@
     private static final int LOOK_MS = 50;
     /** Milliseconds in which one that was turned away is read at each look: it says no more than one request. */
     private static final int TURNED_AWAY_MS = 1;
+    /** Descriptors that stay free once they ran out: for a link, a call, operators. */
+    private static final int KEPT_FREE = 8;
     /** Nanoseconds in which a listener that ends is emptied at most, however many still come. */
     private static final long EMPTY_NANOS = 300_000_000L;
 
@@ -76,6 +76,7 @@
     private volatile ServerSocket listener;
     private final Front front;
     private volatile int most;
+    private final int leaving;
     private final Counters counters;
     private final Set<Connection> open = ConcurrentHashMap.newKeySet();
     /** Newcomers for which there was no room, the first first. */
@@ -87,12 +88,18 @@
     private volatile boolean ended;
     private volatile CountDownLatch emptied = new CountDownLatch(0);
 
-    /** Takes nothing until it is told to listen. */
-    public Server(String name, InetSocketAddress address, int most, Front front, Counters counters) {
+    /**
+     * Takes nothing until it is told to listen.
+     *
+     * @param most    connections
+     * @param leaving further ones that are on their way out, and half as many newcomers that hear there is no room
+     */
+    public Server(String name, InetSocketAddress address, int most, int leaving, Front front, Counters counters) {
         this.name = name;
         this.address = address;
         this.front = front;
         this.most = most;
+        this.leaving = leaving;
         this.counters = counters;
         threads = new ThreadPoolExecutor(READY, Integer.MAX_VALUE, 5, TimeUnit.SECONDS, new SynchronousQueue<>(),
                 task -> Core.thread(name, task));
@@ -170,6 +177,7 @@
                 // Guards against the listener ending for good, or spinning, while descriptors or memory are short.
                 if (!mine.isClosed()) {
                     tell("accepting failed: " + e);
+                    makeDoWithLess();
                     LockSupport.parkNanos(20_000_000);
                 }
             }
@@ -186,6 +194,27 @@
         }
     }
 
+    /**
+     * Where no descriptor is to be had, there are fewer than was reckoned with: from now on some connections less are held.
+     * Guards against idle ones that keep the last of them for good, so that none with work gets in, nor operators, nor the
+     * worker pool's next link: room is made as connections are accepted, and none could be.
+     */
+    private void makeDoWithLess() {
+        try (FileInputStream probe = new FileInputStream("/dev/null")) {
+            return;   // it was something else
+        } catch (IOException none) {
+            int less = Math.max(1, open.size() - KEPT_FREE);
+            if (less < most) {
+                most = less;
+                Logger.warn("{}: no descriptor is left: {} connections at most from now on", name, less);
+            }
+            sendAway(less);
+            for (long go = open.size() - less; go > 0 && cutFirst(); go--) {
+                continue;
+            }
+        }
+    }
+
     /** How far the end of each connection has come. */
     private void look() {
         long now = System.nanoTime();
@@ -216,7 +245,7 @@
         counters.add(Count.CONNECTIONS);
         if (closing) {
             // Guards against a peer that came with the end of the listener and never heard of it.
-            connection.goAway();
+            connection.goAway(Connection.GO_MS);
         }
         try {
             threads.execute(() -> serve(connection));
@@ -233,7 +262,7 @@
         connection.goAway();
         connection.finish();
         turnedAway.add(connection);
-        if (turnedAway.size() > MOST_TURNED_AWAY) {
+        if (turnedAway.size() > leaving / 2) {
             turnedAway.poll().close();
         }
     }
@@ -253,9 +282,9 @@
      * is told first, and goes when it has had the time to hear of it, or when more are told than there is room for.
      */
     private boolean makeRoom() {
-        long leaving = open.stream().filter(each -> each.phase() != Phase.OPEN).count();
-        if (open.size() - leaving < most) {
-            return leaving < MOST_DEPARTING || cutFirst();
+        long go = open.stream().filter(each -> each.phase() != Phase.OPEN).count();
+        if (open.size() - go < most) {
+            return go < leaving || cutFirst();
         }
         Set<Connection> kept = new HashSet<>();
         long now = System.nanoTime();
@@ -273,7 +302,7 @@
             }
             kept.add(least);
             boolean silent = least.merit() == Merit.SILENT;
-            if ((!silent || least.free()) && (leaving < MOST_DEPARTING || cutFirst())) {
+            if ((!silent || least.free()) && (go < leaving || cutFirst())) {
                 counters.add(Count.DISMISSED);
                 least.goAway();
                 if (silent) {
@@ -287,12 +316,12 @@
 
     /** Closes one of those that go, the first of them that nothing is lost with: half closed ones before the others. */
     private boolean cutFirst() {
-        List<Connection> leaving = open.stream().filter(each -> each.phase() != Phase.OPEN && each.free())
+        List<Connection> go = open.stream().filter(each -> each.phase() != Phase.OPEN && each.free())
                 .sorted(Comparator.comparing(Connection::phase).reversed().thenComparing(Connection::heardAt)).toList();
-        if (leaving.isEmpty()) {
+        if (go.isEmpty()) {
             return false;
         }
-        Connection first = leaving.get(0);
+        Connection first = go.get(0);
         first.finish();
         open.remove(first);
         first.note(name, "to make room");
@@ -308,12 +337,12 @@
         long now = System.nanoTime();
         open.stream().filter(each -> each.merit() != Merit.SILENT && each.owed() == 0)
                 .sorted(Comparator.comparingInt((Connection each) -> use(each, now)).thenComparing(Connection::heardAt))
-                .limit(Math.max(0, open.size() - keep)).forEach(Connection::goAway);
+                .limit(Math.max(0, open.size() - keep)).forEach(each -> each.goAway(Connection.GO_MS));
     }
 
     /** Tells all peers to go: each is released once it is answered and quiet. */
     public void goAway() {
-        open.forEach(Connection::goAway);
+        open.forEach(each -> each.goAway(Connection.GO_MS));
     }
 
     /** Takes nothing any more: each connection ends once what it is owed is written. */
--- a/src/main/java/wharftrestle/net/StoreClient.java
+++ b/src/main/java/wharftrestle/net/StoreClient.java
@@ -48,8 +48,8 @@
 
     private volatile InetSocketAddress address;
     private final Counters counters;
-    private final ThreadPoolExecutor threads = new ThreadPoolExecutor(MOST_CALLS, MOST_CALLS, 5, TimeUnit.SECONDS,
-            new LinkedBlockingQueue<>(), task -> Core.thread("store", task));
+    private final int most;
+    private final ThreadPoolExecutor threads;
     private final ArrayDeque<Link> idle = new ArrayDeque<>();
 
     private static final class Link {
@@ -151,6 +151,7 @@
                     if (to == null) {
                         return new Reply(Outcome.UNREACHABLE, null, false);
                     }
+                    makeRoom();
                     Socket made = new Socket();
                     uses(made);
                     made.setTcpNoDelay(true);
@@ -189,10 +190,17 @@
         }
     }
 
-    /** @param address null at a site whose runs call nothing: a call that is asked for all the same never ran */
-    public StoreClient(InetSocketAddress address, Counters counters) {
+    /**
+     * @param address null at a site whose runs call nothing: a call that is asked for all the same never ran
+     * @param most    connections, under way or idle
+     */
+    public StoreClient(InetSocketAddress address, int most, Counters counters) {
         this.address = address;
+        this.most = most;
         this.counters = counters;
+        int calls = Math.min(MOST_CALLS, most);
+        threads = new ThreadPoolExecutor(calls, calls, 5, TimeUnit.SECONDS, new LinkedBlockingQueue<>(),
+                task -> Core.thread("store", task));
         threads.allowCoreThreadTimeOut(true);
     }
 
@@ -245,6 +253,15 @@
         return true;
     }
 
+    /** Guards against more connections than this part may have: idle ones go for a new one. */
+    private void makeRoom() {
+        synchronized (idle) {
+            while (!idle.isEmpty() && idle.size() + threads.getActiveCount() > most) {
+                Bytes.closeQuietly(idle.pollLast().socket);
+            }
+        }
+    }
+
     private void forgetIdle() {
         synchronized (idle) {
             idle.forEach(link -> Bytes.closeQuietly(link.socket));
--- a/src/main/java/wharftrestle/ops/Console.java
+++ b/src/main/java/wharftrestle/ops/Console.java
@@ -22,7 +22,7 @@
     private static final int LONGEST_ANSWER = 256 * 1024;
     private static final String HELP = """
             ready         whether this process takes clients
-            vars          the figures: requests by class and outcome, runs, requests outstanding
+            vars          the figures: requests by class and result, runs, requests outstanding
             status        state, worker pool link, health, requests in hand
             version       build, settings and formats of the running process
             results       the figures of results kept over restarts
