--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -154,7 +154,8 @@
         store = new StoreClient(config.db(), descriptors.calls(), counters);
         reporter = new Reporter(config.name(), config.naming(), counters);
         resp = new Server("resp", config.listen(), mostCallers - mostGateways,
-                descriptors.leaving() - (mostGateways > 0 ? descriptors.gatewaysLeaving() : 0), new Resp(core, counters), counters);
+                descriptors.leaving() - (mostGateways > 0 ? descriptors.gatewaysLeaving() : 0), new Resp(core, counters),
+                counters);
         uwsgi = appliance.uwsgi() == null ? null : new Server("uwsgi", appliance.uwsgi(), mostGateways,
                 descriptors.gatewaysLeaving(), new Uwsgi(core, counters, config.seed(), appliance.heldKb()), counters);
         InetSocketAddress at = config.console() != null ? config.console() : appliance.control();
--- a/src/main/java/wharftrestle/lab/virtual/VirtualFleet.java
+++ b/src/main/java/wharftrestle/lab/virtual/VirtualFleet.java
@@ -65,7 +65,8 @@
                 type("next-step", unit, 1, Admission.Repeat.SAFE), type("prefill", unit, 2, Admission.Repeat.SAFE),
                 type("history", unit, 2, Admission.Repeat.SAFE), type("outcome", unit, 5, Admission.Repeat.UNSAFE));
         return new Admission.Settings(classes, List.of(), site.boxes(), 8, CORES, 720_000, 4, 1, 0,
-                Admission.Preemption.NONE, Admission.Downstream.SHARED, callShare, 5, 0.2, true, false, true, 0.06, 2, 8, 3, cold,
+                Admission.Preemption.NONE, Admission.Downstream.SHARED, callShare, 5, 0.2, true, false, true, 0.06, 2, 8, 3,
+                cold,
                 0.3, 15, 1, false, 1, false, 0.004, List.of("cpu_busy", "runnable"));
     }
 
--- a/src/main/java/wharftrestle/net/Connection.java
+++ b/src/main/java/wharftrestle/net/Connection.java
@@ -25,7 +25,7 @@
     static final int GO_MS = 300;
     /** The same where nothing presses: with room short, the first told go sooner. */
     static final int REST_MS = 1000;
-    /** Milliseconds in which a peer may end its side once ours is shut; then the socket is closed over what it still sends. */
+    /** Milliseconds in which a peer may end its side once ours is shut; then it is closed over what still comes. */
     static final int LINGER_MS = 500;
     /** Bytes that are read and dropped at most: more is no message on its way but a flood. */
     private static final int MOST_DROPPED = 256 * 1024;
--- a/src/main/java/wharftrestle/net/ConnectionState.java
+++ b/src/main/java/wharftrestle/net/ConnectionState.java
@@ -15,7 +15,8 @@
  * <tr><td>OPEN</td><td>requests are taken</td><td>to GOING_AWAY, CLOSING, CLOSED</td></tr>
  * <tr><td>GOING_AWAY</td><td>its peer was told to send no more; what crosses that word is still taken</td>
  *     <td>to CLOSING, CLOSED</td></tr>
- * <tr><td>CLOSING</td><td>nothing is taken any more; what was taken is still answered</td><td>to HALF_CLOSED, CLOSED</td></tr>
+ * <tr><td>CLOSING</td><td>nothing is taken any more; what was taken is still answered</td>
+ *     <td>to HALF_CLOSED, CLOSED</td></tr>
  * <tr><td>HALF_CLOSED</td><td>all is written and this side is shut; what comes is read and dropped until the peer ends</td>
  *     <td>to CLOSED</td></tr>
  * <tr><td>CLOSED</td><td>nothing is sent or read</td><td></td></tr>
--- a/src/main/java/wharftrestle/net/Descriptors.java
+++ b/src/main/java/wharftrestle/net/Descriptors.java
@@ -6,8 +6,8 @@
  * anything.
  *
  * @param callers   connections of front ends and gateways
- * @param leaving   further ones of theirs that are on their way out, at most; half as many newcomers are turned away and have
- *                  yet to hear so
+ * @param leaving   further ones of theirs that are on their way out, at most; half as many newcomers are turned away and
+ *                  have yet to hear so
  * @param calls     connections to the store, under way or idle
  * @param operators calls at the operators' door
  */
--- a/src/test/java/wharftrestle/DaemonTest.java
+++ b/src/test/java/wharftrestle/DaemonTest.java
@@ -255,7 +255,7 @@
                     Thread.onSpinWait();
                 }
                 site.finish(ref(1), "good", 1, "of the first");
-                assertEquals(new Reply("1", "done", "", "of the first"), twice.reply(), "what was read before has its answer");
+                assertEquals(new Reply("1", "done", "", "of the first"), twice.reply(), "what was read has its answer");
                 assertEquals(-1, twice.socket.getInputStream().read(), "and nothing else comes");
                 assertNull(site.commands.poll(), "the second never ran");
             }
--- a/src/test/java/wharftrestle/EndingsTest.java
+++ b/src/test/java/wharftrestle/EndingsTest.java
@@ -135,7 +135,8 @@
 
     @Test
     void whoRestsUntilItIsEndedIsEndedWithoutAResetAndItsLastWordIsNotRun() throws Exception {
-        try (Loopback site = new Loopback(Sites.site()); Caller rests = site.new Caller(); Caller works = site.new Caller()) {
+        try (Loopback site = new Loopback(Sites.site()); Caller rests = site.new Caller();
+                Caller works = site.new Caller()) {
             rests.ask(1, "read", null, "x");
             site.finish(site.command().ref(), "good", 1, "fine");
             assertEquals("fine", rests.reply().body());
@@ -241,7 +242,8 @@
     }
 
     private static Core.Arrival arrival(int number) {
-        return new Core.Arrival(ref(number), false, 0, 0, 24, 1, 0.5, 0, null, null, System.currentTimeMillis(), new byte[0]);
+        return new Core.Arrival(ref(number), false, 0, 0, 24, 1, 0.5, 0, null, null, System.currentTimeMillis(),
+                new byte[0]);
     }
 
     @Test
--- a/src/test/java/wharftrestle/lab/LabTest.java
+++ b/src/test/java/wharftrestle/lab/LabTest.java
@@ -354,7 +354,7 @@
                 link.setSoTimeout(5000);
                 InputStream in = new BufferedInputStream(link.getInputStream());
                 link.getOutputStream().write(Bytes.join(Bytes.ascii("bind 0\r\n"), spawn, spawn));
-                assertTrue(Bytes.line(in, 100).matches("bound old 6\\d{4}"), "up for a minute, and some seconds of this story");
+                assertTrue(Bytes.line(in, 100).matches("bound old 6\\d{4}"), "up for a minute, and this story");
                 first = Bytes.line(in, 100);
                 assertTrue(first.startsWith("finished 1 0000000000000001 good "), first);
             }
@@ -362,7 +362,7 @@
                 link.setSoTimeout(5000);
                 InputStream in = new BufferedInputStream(link.getInputStream());
                 link.getOutputStream().write(Bytes.join(Bytes.ascii("bind 7\r\n"), spawn));
-                assertTrue(Bytes.line(in, 100).matches("bound old 6\\d{4}"), "up for a minute, and some seconds of this story");
+                assertTrue(Bytes.line(in, 100).matches("bound old 6\\d{4}"), "up for a minute, and this story");
                 assertEquals(first.replace("finished 1 ", "finished 8 "), Bytes.line(in, 100), "its end, told again");
             }
             assertEquals(1, pool.begun("note").size());
--- a/src/test/java/wharftrestle/net/ConnectionStateTest.java
+++ b/src/test/java/wharftrestle/net/ConnectionStateTest.java
@@ -16,7 +16,7 @@
 import wharftrestle.net.ConnectionState.Act;
 import wharftrestle.net.ConnectionState.Phase;
 
-/** The state of a connection alone: whatever the interleaving, nothing owed is dropped, and nothing is sent after its end. */
+/** The state of a connection alone: whatever the interleaving, nothing owed is dropped, nothing sent after its end. */
 public class ConnectionStateTest {
     private static final byte[] ANSWER = {1};
 
--- a/src/test/java/wharftrestle/net/ServerTest.java
+++ b/src/test/java/wharftrestle/net/ServerTest.java
@@ -79,7 +79,8 @@
     }
 
     private Server server(int most, Server.Front front) throws IOException {
-        Server server = new Server("test", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), most, 16, front, counters);
+        Server server = new Server("test", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), most, 16, front,
+                counters);
         server.listen(false, true);
         return server;
     }
