Let no peer that does not read hold up the word to go: others write it, and it is owed till then

Seen by reading: the thread that accepts, and the one that drains, wrote 'closing' themselves, so that a peer that had filled its window held up every newcomer, or the end of the process, for good. ServerTest holds a word back at a gate and is served meanwhile. Stories that expected a word before it could be said wait for what they mean.

--- a/src/main/java/wharftrestle/net/Connection.java
+++ b/src/main/java/wharftrestle/net/Connection.java
@@ -182,13 +182,27 @@
     }
 
     /** The same with so many ms in which its peer may go by itself. */
-    void goAway(int millis) {
-        long now = System.nanoTime();
-        if (state.goAway(now, now + millis * 1_000_000L)) {
+    private void goAway(int millis) {
+        if (toldToGo(millis)) {
+            sayGo();
+        }
+    }
+
+    /** Says the word that {@link #toldToGo} left to say. */
+    void sayGo() {
+        try {
             front.sayClosing(this);
+        } finally {
+            carryOut(state.said(System.nanoTime()));
         }
     }
 
+    /** It is to go within so many ms; true for the one who then has to say so, on a thread that may wait for its peer. */
+    boolean toldToGo(int millis) {
+        long now = System.nanoTime();
+        return state.goAway(now, now + millis * 1_000_000L);
+    }
+
     /** Takes nothing from now on, answers what was taken, then shuts its side. */
     public void finish() {
         carryOut(state.finish(System.nanoTime()));
@@ -208,9 +222,13 @@
         close();
     }
 
-    /** The look of the server's own thread, every some ten ms: the one place where a connection's deadlines are kept. */
-    void look(long now) {
-        if (state.stuck(now)) {
+    /**
+     * The look of the server's own thread, every some ten ms: the one place where a connection's deadlines are kept.
+     *
+     * @param hurry the process ends: a peer that does not read is not waited for
+     */
+    void look(long now, boolean hurry) {
+        if (state.stuck(now, hurry ? GO_MS * 1_000_000L : ConnectionState.WRITE_NANOS)) {
             cutUnread();
         } else if (state.since(Phase.HALF_CLOSED, now) > LINGER_MS * 1_000_000L) {
             close();
@@ -264,7 +282,7 @@
         } catch (IOException e) {
             return false;   // noted as its end
         }
-        look(System.nanoTime());
+        look(System.nanoTime(), false);
         return !input.ended && state.phase() != Phase.CLOSED;
     }
 
--- a/src/main/java/wharftrestle/net/ConnectionState.java
+++ b/src/main/java/wharftrestle/net/ConnectionState.java
@@ -53,6 +53,7 @@
     private long quietReads = -1;  // what reads was at the last look that found it quiet
     private long movedAt;          // when the present phase began
     private long goBy;             // once its peer was told to go
+    private boolean wordOwed;      // and the word itself is not in the queue yet
 
     /** Under the lock as all else: a look without it would see the instant between two steps that are one. */
     synchronized Phase phase() {
@@ -151,9 +152,16 @@
         }
         move(Phase.GOING_AWAY, now);
         goBy = by;
+        wordOwed = true;
         return true;
     }
 
+    /** The word to go is in the queue. */
+    synchronized Act said(long now) {
+        wordOwed = false;
+        return shutIfDone(now);
+    }
+
     /** True where its peer was told to go and has had the time for it. */
     synchronized boolean goneBy(long now) {
         return phase == Phase.GOING_AWAY && now > goBy;
@@ -168,7 +176,7 @@
     }
 
     private Act shutIfDone(long now) {
-        if (phase != Phase.CLOSING || owed > 0 || writing || !queue.isEmpty()) {
+        if (phase != Phase.CLOSING || owed > 0 || wordOwed || writing || !queue.isEmpty()) {
             return Act.NOTHING;
         }
         move(Phase.HALF_CLOSED, now);
@@ -186,7 +194,7 @@
         return true;
     }
 
-    /** True where nothing is owed, on its way out, or read and not dealt with. */
+    /** True where no answer is owed or on its way out, and nothing read and not dealt with. */
     synchronized boolean idle() {
         return owed == 0 && !writing && queue.isEmpty() && !inHand;
     }
@@ -199,7 +207,7 @@
      * @param unread bytes that the system holds
      */
     synchronized boolean quiet(int unread) {
-        boolean now = unread == 0 && idle();
+        boolean now = unread == 0 && idle() && !wordOwed;
         boolean before = quietReads == reads;
         quietReads = now ? reads : -1;
         return now && before;
@@ -210,8 +218,8 @@
         return phase == asked ? Math.max(1, now - movedAt) : 0;
     }
 
-    /** True where the message that is being written has waited too long for its peer. */
-    synchronized boolean stuck(long now) {
-        return writingSince != 0 && now - writingSince > WRITE_NANOS;
+    /** True where the message that is being written has waited longer than that for its peer. */
+    synchronized boolean stuck(long now, long most) {
+        return writingSince != 0 && now - writingSince > most;
     }
 }
--- a/src/main/java/wharftrestle/net/Server.java
+++ b/src/main/java/wharftrestle/net/Server.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -66,6 +68,8 @@
     private static final int LOOK_MS = 50;
     /** Milliseconds in which one that was turned away is read at each look: it says no more than one request. */
     private static final int TURNED_AWAY_MS = 1;
+    /** Threads that tell peers to go, at most. */
+    private static final int MOST_WORDS = 4;
     /** Descriptors that stay free once they ran out: for a link, a call, operators. */
     private static final int KEPT_FREE = 8;
     /** Nanoseconds in which a listener that ends is emptied at most, however many still come. */
@@ -84,6 +88,8 @@
     private final AtomicLong toldAt = new AtomicLong(System.nanoTime() - 2_000_000_000L);
     /** A thread each while it lasts; kept some seconds for the next, as a new one costs more than an answer. */
     private final ThreadPoolExecutor threads;
+    /** Threads that tell peers to go; none while there is nobody to tell. */
+    private final ThreadPoolExecutor words;
     private volatile boolean closing;
     private volatile boolean ended;
     private volatile CountDownLatch emptied = new CountDownLatch(0);
@@ -103,6 +109,9 @@
         this.counters = counters;
         threads = new ThreadPoolExecutor(READY, Integer.MAX_VALUE, 5, TimeUnit.SECONDS, new SynchronousQueue<>(),
                 task -> Core.thread(name, task));
+        words = new ThreadPoolExecutor(MOST_WORDS, MOST_WORDS, 1, TimeUnit.SECONDS, new LinkedBlockingQueue<>(),
+                task -> Core.thread(name + "-words", task));
+        words.allowCoreThreadTimeOut(true);
     }
 
     /**
@@ -218,7 +227,7 @@
     /** How far the end of each connection has come. */
     private void look() {
         long now = System.nanoTime();
-        open.forEach(each -> each.look(now));
+        open.forEach(each -> each.look(now, closing));
         turnedAway.removeIf(each -> {
             boolean more = each.dropOnce(TURNED_AWAY_MS);
             if (!more) {
@@ -245,7 +254,7 @@
         counters.add(Count.CONNECTIONS);
         if (closing) {
             // Guards against a peer that came with the end of the listener and never heard of it.
-            connection.goAway(Connection.GO_MS);
+            tellToGo(connection, Connection.GO_MS);
         }
         try {
             threads.execute(() -> serve(connection));
@@ -304,7 +313,7 @@
             boolean silent = least.merit() == Merit.SILENT;
             if ((!silent || least.free()) && (go < leaving || cutFirst())) {
                 counters.add(Count.DISMISSED);
-                least.goAway();
+                tellToGo(least, Connection.REST_MS);
                 if (silent) {
                     least.finish();   // what a new connection brings has failed where it is closed
                 }
@@ -337,18 +346,32 @@
         long now = System.nanoTime();
         open.stream().filter(each -> each.merit() != Merit.SILENT && each.owed() == 0)
                 .sorted(Comparator.comparingInt((Connection each) -> use(each, now)).thenComparing(Connection::heardAt))
-                .limit(Math.max(0, open.size() - keep)).forEach(each -> each.goAway(Connection.GO_MS));
+                .limit(Math.max(0, open.size() - keep)).forEach(each -> tellToGo(each, Connection.GO_MS));
     }
 
     /** Tells all peers to go: each is released once it is answered and quiet. */
     public void goAway() {
-        open.forEach(each -> each.goAway(Connection.GO_MS));
+        open.forEach(each -> tellToGo(each, Connection.GO_MS));
+    }
+
+    /**
+     * Guards against one peer that does not read holding up the thread that accepts, or the end of the process: the word is
+     * written by another thread, and who does not take it is cut as any who does not read.
+     */
+    private void tellToGo(Connection connection, int millis) {
+        if (connection.toldToGo(millis)) {
+            try {
+                words.execute(connection::sayGo);
+            } catch (RejectedExecutionException over) {
+                connection.close();   // the server was closed meanwhile
+            }
+        }
     }
 
     /** Takes nothing any more: each connection ends once what it is owed is written. */
     public void finish() {
         open.forEach(each -> {
-            each.goAway();
+            tellToGo(each, Connection.GO_MS);
             each.finish();
         });
     }
@@ -418,5 +441,6 @@
         ended = true;
         open.forEach(Connection::close);
         threads.shutdown();
+        words.shutdownNow();
     }
 }
--- a/src/test/java/wharftrestle/EndingsTest.java
+++ b/src/test/java/wharftrestle/EndingsTest.java
@@ -167,6 +167,9 @@
             Thread stopping = stopping(site);
             site.life.leave();
             site.life.leave();   // a second notice is none
+            do {
+                busy.send("STATUS", "1", "");
+            } while (!busy.reply().word().equals("sick"));
             while (site.life.state() != Lifecycle.State.CLOSING) {
                 try (Caller comes = site.new Caller()) {
                     comes.send("STATUS", "1", "");
--- a/src/test/java/wharftrestle/net/ServerTest.java
+++ b/src/test/java/wharftrestle/net/ServerTest.java
@@ -258,6 +258,36 @@
         }
     }
 
+    @Test
+    void whoCannotBeToldToGoHoldsUpNeitherNewcomersNorTheEnd() throws Exception {
+        Bytewise bytewise = new Bytewise();
+        Server.Front deaf = new Server.Front() {
+            @Override
+            public void serve(Connection connection) throws IOException {
+                bytewise.serve(connection);
+            }
+
+            @Override
+            public void sayClosing(Connection connection) {
+                awaitGate();   // as a write to a peer that reads nothing
+                bytewise.sayClosing(connection);
+            }
+        };
+        try (Server server = server(1, deaf); Socket rests = peer(server)) {
+            server.start();
+            write(rests, "a");
+            assertEquals("A", read(rests, 1));
+            try (Socket comes = peer(server)) {
+                write(comes, "c");
+                assertEquals("C", read(comes, 1), "room was made");
+                server.goAway();   // comes back at once
+                gate.countDown();
+                assertEquals(BYE, rest(comes));
+                assertEquals(BYE, rest(rests));
+            }
+        }
+    }
+
     @Test
     void allThatWaitsAtAListenerThatEndsIsTaken() throws Exception {
         try (Server server = server(8); Socket one = peer(server); Socket two = peer(server)) {
@@ -265,6 +295,7 @@
             write(two, "b");
             server.start();
             server.stopListening();
+            server.goAway();   // those that came just before
             for (Socket each : List.of(one, two)) {
                 String all = rest(each);
                 assertTrue(all.contains(BYE) && all.length() == 4, all);
