--- a/src/main/java/wharftrestle/ConfigWatch.java
+++ b/src/main/java/wharftrestle/ConfigWatch.java
@@ -6,7 +6,7 @@
 import java.util.Arrays;
 import java.util.concurrent.locks.LockSupport;
 import org.tinylog.Logger;
-import wharftrestle.core.Core;
+import wharftrestle.core.Threads;
 
 /**
  * Stands in for SIGHUP where that cannot be heard: owns the look at the configuration's file, and tells once that it has
@@ -27,7 +27,7 @@
     }
 
     void start() {
-        Core.lasting("config-watch", () -> {
+        Threads.lasting("config-watch", () -> {
             for (;;) {
                 LockSupport.parkNanos(EVERY_MS * 1_000_000L);
                 look();
--- a/src/main/java/wharftrestle/Lifecycle.java
+++ b/src/main/java/wharftrestle/Lifecycle.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.locks.LockSupport;
 import org.tinylog.Logger;
 import wharftrestle.core.Core;
+import wharftrestle.core.Threads;
 import wharftrestle.durable.Journal;
 import wharftrestle.front.Resp;
 import wharftrestle.front.Uwsgi;
@@ -220,7 +221,7 @@
             serveOn();
         } else {
             succession.start();
-            Core.thread("take-over", () -> {
+            Threads.thread("take-over", () -> {
                 try {
                     core.awaitReady();
                     succession.poolUp();
@@ -364,7 +365,7 @@
 
     @Override
     public void otherEnded() {
-        Core.thread("operators", this::awaitOperators).start();
+        Threads.thread("operators", this::awaitOperators).start();
     }
 
     private void awaitOperators() {
--- a/src/main/java/wharftrestle/Succession.java
+++ b/src/main/java/wharftrestle/Succession.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.locks.LockSupport;
 import org.tinylog.Logger;
 import wharftrestle.clock.Wall;
-import wharftrestle.core.Core;
+import wharftrestle.core.Threads;
 import wharftrestle.core.Partner;
 import wharftrestle.handover.Agreement;
 import wharftrestle.handover.HandOver.Act;
@@ -355,7 +355,7 @@
 
     /** Tells without the lock, as the other side may be slow; the end of it is an event of its own. */
     private void tellSettled(BoxLink to, int round) {
-        Core.thread("box-tell", () -> {
+        Threads.thread("box-tell", () -> {
             int all = partner.tellSettled(to);
             synchronized (this) {
                 if (to == link && round == rounds && steps.state() == State.DEALING) {
@@ -380,7 +380,7 @@
     }
 
     private void later(String what, long ms, Runnable then) {
-        Core.thread(what, () -> {
+        Threads.thread(what, () -> {
             LockSupport.parkNanos(ms * 1_000_000);
             synchronized (this) {
                 if (!closed) {
@@ -396,14 +396,14 @@
         box.closeRecords();   // only the owner of the keys writes, and it reads what is on disk by now
         Standstill mine = new Standstill(seconds());
         standstill = mine;
-        Core.thread("box-awake", () -> lookFor(mine)).start();
+        Threads.thread("box-awake", () -> lookFor(mine)).start();
         return open;
     }
 
     private void handAsFormer(BoxLink to) {
         int handed = give(to);
         // Not under this lock, which its end needs: a build of format 1 that stalls is waited for, as it owns all by now.
-        Core.thread("box-tell", () -> to.sayHanded(handed + Math.max(0, partner.tellSettledAfter(to)))).start();
+        Threads.thread("box-tell", () -> to.sayHanded(handed + Math.max(0, partner.tellSettledAfter(to)))).start();
     }
 
     private void openRecords() {
--- a/src/main/java/wharftrestle/core/Core.java
+++ b/src/main/java/wharftrestle/core/Core.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Condition;
-import java.util.concurrent.locks.LockSupport;
 import java.util.concurrent.locks.ReentrantLock;
 import org.tinylog.Logger;
 import wharftrestle.clock.Wall;
@@ -122,9 +121,6 @@
 
     /** Threads beyond the requests in hand, for those that have just ended. */
     private static final int SPARE_THREADS = 32;
-    private static final int STACK = 192 * 1024;
-    /** Nanoseconds before a thread that ended by a fault begins again: no spinning where memory is short. */
-    private static final long FAULT_NANOS = 50_000_000L;
     /** Seconds past the due time at which an answer is forced: well inside the slack of the rule. */
     private static final double BACKSTOP = 0.02;
     /** Seconds a run may outlive its answer before its thread stops waiting for word of it. */
@@ -201,7 +197,7 @@
         this.counters = counters;
         most = mostInHand;
         threads = new ThreadPoolExecutor(8, mostInHand + SPARE_THREADS, 5, TimeUnit.SECONDS, new SynchronousQueue<>(),
-                task -> thread("request", task));
+                task -> Threads.thread("request", task));
     }
 
     /** Gives the core its outer parties and starts its timer. */
@@ -209,7 +205,7 @@
         pool = workers;
         store = calls;
         watcher = told;
-        lasting("timer", this::runTimers).start();
+        Threads.lasting("timer", this::runTimers).start();
     }
 
     /** From now on no keyed run begins before its intent is kept, and none is answered before its result is. */
@@ -253,32 +249,6 @@
         return partner;
     }
 
-    /** A platform thread with a small stack that does not keep the process alive. */
-    public static Thread thread(String name, Runnable body) {
-        Thread thread = new Thread(null, body, name, STACK);
-        thread.setDaemon(true);
-        thread.setUncaughtExceptionHandler((ended, fault) -> Logger.error(fault, "thread {} ended by a fault", name));
-        return thread;
-    }
-
-    /**
-     * The same for a thread on which the process relies: what it does begins again after a fault. Guards against a timer,
-     * a link or reports that have ended and that nobody misses until a request does.
-     */
-    public static Thread lasting(String name, Runnable body) {
-        return thread(name, () -> {
-            for (boolean again = true; again;) {
-                try {
-                    body.run();
-                    again = false;
-                } catch (RuntimeException | Error fault) {
-                    Logger.error(fault, "thread {} ended by a fault; it begins again", name);
-                    LockSupport.parkNanos(FAULT_NANOS);
-                }
-            }
-        });
-    }
-
     public Admission.Settings settings() {
         return settings;
     }
@@ -633,7 +603,7 @@
                 counters.late(task.arrival.classIndex());
             }
             markAnswered(task);
-            step(task, new Task.Step(Task.Kind.ANSWER, null, 0, answer));
+            task.step(new Task.Step(Task.Kind.ANSWER, null, 0, answer));
         }
     }
 
@@ -643,10 +613,6 @@
         task.signal.signal();
     }
 
-    private void step(Task task, Task.Step step) {
-        task.step(step);
-    }
-
     // ---- Time and the module ----
 
     /** Seconds on a clock that never goes back; under the lock. */
@@ -734,14 +700,7 @@
         lock.lock();
         try {
             if (module == null && stopAt == Double.POSITIVE_INFINITY) {
-                Admission.Settings s = settings;
-                Admission.Settings told = new Admission.Settings(s.classes(), s.tenants(), s.peers(), s.callers(),
-                        s.cores(), s.memory(), s.runFactor(), s.keyMemory(), s.shareFor(), s.preemption(),
-                        s.downstream(), s.callShare(), s.callsOver(), s.linger(), s.tellsGone(), s.realChecks(),
-                        s.listFollows(), s.answerSlack(), s.drainGrace(), s.crowdMultiple(), s.crowdOver(),
-                        s.justStarted() || cold, s.coldFrom(), s.coldFor(), s.maxRetryAfter(), s.worthByWork(),
-                        s.overShareWorth(), s.marksRetry(), s.tick(), s.gauges());
-                module = factory.create(now() - ago, seed, told, this);
+                module = factory.create(now() - ago, seed, settings.started(cold), this);
                 settle(now());
                 up.countDown();
             }
@@ -796,7 +755,7 @@
         task.runOver = true;
         task.callNumber++;
         if (task.call != null) {
-            step(task, Task.Step.of(Task.Kind.ABANDON));
+            task.step(Task.Step.of(Task.Kind.ABANDON));
         }
         boolean waits = false;
         if (task.entry != null && task.entry.holder() == task) {
@@ -893,7 +852,7 @@
             task.callFailed = outcome != Outcome.SUCCESS && outcome != Outcome.TIMED_OUT;
             double now = now();
             if (outcome == Outcome.SUCCESS) {
-                step(task, new Task.Step(Task.Kind.SUPPLY, reply, 0, null));
+                task.step(new Task.Step(Task.Kind.SUPPLY, reply, 0, null));
             }
             module.callEnded(now, task.id, outcome, now - task.callSince);
             settleSoon(now);
@@ -945,7 +904,7 @@
     private void endAttached(Task task, KeyTable.Entry<Task> entry) {
         if (!task.answered && entry != null && entry.onDisk() && keys.result(entry) == null) {
             task.entry = entry;
-            step(task, Task.Step.of(Task.Kind.REPLAY));   // it lies on disk: no reading here, under the lock
+            task.step(Task.Step.of(Task.Kind.REPLAY));   // it lies on disk: no reading here, under the lock
             return;
         }
         endWith(task, entry == null ? null : keys.result(entry));
@@ -1067,7 +1026,7 @@
             }
         }
         task.spawned = true;
-        step(task, Task.Step.of(recorder.recording(task) ? Task.Kind.INTEND : Task.Kind.SPAWN));
+        task.step(Task.Step.of(recorder.recording(task) ? Task.Kind.INTEND : Task.Kind.SPAWN));
     }
 
     @Override
@@ -1101,7 +1060,7 @@
                 }
             });
         } else if (task != null && task.spawned && !task.runOver) {
-            step(task, Task.Step.of(Task.Kind.SUSPEND));
+            task.step(Task.Step.of(Task.Kind.SUSPEND));
         }
     }
 
@@ -1110,7 +1069,7 @@
         Task task = byId.get(id);
         if (task != null && !task.runOver) {
             task.callSince = now();
-            step(task, new Task.Step(Task.Kind.CALL, null, notPast, null));
+            task.step(new Task.Step(Task.Kind.CALL, null, notPast, null));
         }
     }
 
@@ -1118,7 +1077,7 @@
     public void skipCall(long id) {
         Task task = byId.get(id);
         if (task != null && !task.runOver) {
-            step(task, new Task.Step(Task.Kind.PASS, null, task.notice, null));
+            task.step(new Task.Step(Task.Kind.PASS, null, task.notice, null));
         }
     }
 
--- a/src/main/java/wharftrestle/durable/Journal.java
+++ b/src/main/java/wharftrestle/durable/Journal.java
@@ -13,7 +13,7 @@
 import org.HdrHistogram.Histogram;
 import org.tinylog.Logger;
 import wharftrestle.clock.Wall;
-import wharftrestle.core.Core;
+import wharftrestle.core.Threads;
 import wharftrestle.core.Records;
 import wharftrestle.net.Config;
 import wharftrestle.ops.ResultFigure;
@@ -136,7 +136,7 @@
                 state = State.FAILED;
                 Logger.warn("kept results: no room in {}, keyed requests are refused", settings.folder());
             }
-            writer = Core.thread("results", this::write);
+            writer = Threads.thread("results", this::write);
             writer.start();
             recoveryMs = (System.nanoTime() - began) / 1e6;
             return recovered;
--- a/src/main/java/wharftrestle/net/BoxLink.java
+++ b/src/main/java/wharftrestle/net/BoxLink.java
@@ -18,7 +18,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.locks.LockSupport;
 import org.tinylog.Logger;
-import wharftrestle.core.Core;
+import wharftrestle.core.Threads;
 import wharftrestle.core.Partner;
 import wharftrestle.handover.Other;
 import wharftrestle.keys.Digest;
@@ -100,12 +100,12 @@
             return null;
         }
         Semaphore links = new Semaphore(MOST_LINKS);
-        Core.thread("box-accept", () -> {
+        Threads.thread("box-accept", () -> {
             while (server.isOpen()) {
                 try {
                     links.acquire();
                     BoxLink link = new BoxLink(server.accept(), core, side);
-                    Core.thread("box", () -> {
+                    Threads.thread("box", () -> {
                         link.converse();
                         links.release();
                     }).start();
@@ -125,7 +125,7 @@
 
     /** Hears from now on. */
     public void start() {
-        Core.thread("box", this::converse).start();
+        Threads.thread("box", this::converse).start();
     }
 
     // ---- The steps, as this side says them ----
@@ -183,7 +183,7 @@
     // ---- Reading ----
 
     private void converse() {
-        Core.thread("box-write", this::write).start();
+        Threads.thread("box-write", this::write).start();
         try {
             InputStream in = new BufferedInputStream(new Bytes.Runs() {
                 // The channel's own stream would hold its lock while it waits, and so hold up all writes.
--- a/src/main/java/wharftrestle/net/PoolLink.java
+++ b/src/main/java/wharftrestle/net/PoolLink.java
@@ -19,6 +19,7 @@
 import org.tinylog.Logger;
 import wharftrestle.policy.Admission.Outcome;
 import wharftrestle.core.Core;
+import wharftrestle.core.Threads;
 import wharftrestle.ops.Counters;
 import wharftrestle.ops.Counters.Count;
 
@@ -142,7 +143,7 @@
     }
 
     public void start() {
-        Core.lasting("pool-link", this::keepLinked).start();
+        Threads.lasting("pool-link", this::keepLinked).start();
     }
 
     /** True while the worker pool has answered the bind of the present link. */
@@ -183,7 +184,7 @@
                     session = mine;
                 }
                 try {
-                    Core.thread("pool-write", mine::write).start();
+                    Threads.thread("pool-write", mine::write).start();
                     mine.flush();
                     read(mine, new BufferedInputStream(made.getInputStream(), 8192));
                 } finally {
--- a/src/main/java/wharftrestle/net/Reporter.java
+++ b/src/main/java/wharftrestle/net/Reporter.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.locks.LockSupport;
 import org.tinylog.Logger;
 import wharftrestle.core.Core;
+import wharftrestle.core.Threads;
 import wharftrestle.ops.Counters;
 import wharftrestle.ops.Counters.Count;
 
@@ -34,7 +35,7 @@
     }
 
     public void start() {
-        Core.lasting("reporter", this::report).start();
+        Threads.lasting("reporter", this::report).start();
     }
 
     /** Reports go to another address from now on. */
--- a/src/main/java/wharftrestle/net/Server.java
+++ b/src/main/java/wharftrestle/net/Server.java
@@ -23,7 +23,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import org.tinylog.Logger;
-import wharftrestle.core.Core;
+import wharftrestle.core.Threads;
 import wharftrestle.net.Connection.Merit;
 import wharftrestle.net.ConnectionState.Phase;
 import wharftrestle.ops.Counters;
@@ -108,9 +108,9 @@
         this.leaving = leaving;
         this.counters = counters;
         threads = new ThreadPoolExecutor(READY, Integer.MAX_VALUE, 5, TimeUnit.SECONDS, new SynchronousQueue<>(),
-                task -> Core.thread(name, task));
+                task -> Threads.thread(name, task));
         words = new ThreadPoolExecutor(MOST_WORDS, MOST_WORDS, 1, TimeUnit.SECONDS, new LinkedBlockingQueue<>(),
-                task -> Core.thread(name + "-words", task));
+                task -> Threads.thread(name + "-words", task));
         words.allowCoreThreadTimeOut(true);
     }
 
@@ -146,7 +146,7 @@
         ServerSocket mine = listener;
         CountDownLatch done = new CountDownLatch(1);
         emptied = done;
-        Core.lasting(name + "-accept", () -> accept(mine, done)).start();
+        Threads.lasting(name + "-accept", () -> accept(mine, done)).start();
     }
 
     public boolean listening() {
--- a/src/main/java/wharftrestle/net/StoreClient.java
+++ b/src/main/java/wharftrestle/net/StoreClient.java
@@ -17,6 +17,7 @@
 import org.tinylog.Logger;
 import wharftrestle.policy.Admission.Outcome;
 import wharftrestle.core.Core;
+import wharftrestle.core.Threads;
 import wharftrestle.ops.Counters;
 import wharftrestle.ops.Counters.Count;
 
@@ -200,7 +201,7 @@
         this.counters = counters;
         int calls = Math.min(MOST_CALLS, most);
         threads = new ThreadPoolExecutor(calls, calls, 5, TimeUnit.SECONDS, new LinkedBlockingQueue<>(),
-                task -> Core.thread("store", task));
+                task -> Threads.thread("store", task));
         threads.allowCoreThreadTimeOut(true);
     }
 
--- a/src/main/java/wharftrestle/policy/Admission.java
+++ b/src/main/java/wharftrestle/policy/Admission.java
@@ -100,7 +100,16 @@
                     boolean realChecks, boolean listFollows, double answerSlack, double drainGrace,
                     double crowdMultiple, double crowdOver, boolean justStarted, double coldFrom, double coldFor,
                     double maxRetryAfter, boolean worthByWork, double overShareWorth, boolean marksRetry,
-                    double tick, List<String> gauges) { }
+                    double tick, List<String> gauges) {
+
+        /** The same for a server that may have started cold, whatever the configuration says. */
+        public Settings started(boolean cold) {
+            return new Settings(classes, tenants, peers, callers, cores, memory, runFactor, keyMemory, shareFor, preemption,
+                    downstream, callShare, callsOver, linger, tellsGone, realChecks, listFollows, answerSlack, drainGrace,
+                    crowdMultiple, crowdOver, justStarted || cold, coldFrom, coldFor, maxRetryAfter, worthByWork,
+                    overShareWorth, marksRetry, tick, gauges);
+        }
+    }
 
     /**
      * One request, read and now owed exactly one final answer.
--- a/src/test/java/wharftrestle/EndingsTest.java
+++ b/src/test/java/wharftrestle/EndingsTest.java
@@ -22,6 +22,7 @@
 import wharftrestle.Loopback.Caller;
 import wharftrestle.Loopback.Command;
 import wharftrestle.core.Core;
+import wharftrestle.core.Threads;
 import wharftrestle.keys.KeyRoom;
 import wharftrestle.lab.RespPeer.Reply;
 import wharftrestle.net.Bytes;
@@ -307,7 +308,7 @@
     @Test
     void aThreadThatIsReliedOnBeginsAgain() throws Exception {
         CountDownLatch times = new CountDownLatch(3);
-        Thread lasting = Core.lasting("made up", () -> {
+        Thread lasting = Threads.lasting("made up", () -> {
             times.countDown();
             if (times.getCount() > 0) {
                 throw new StackOverflowError("made up");
