Take another port for a rig's link where datagrams of somebody else have the first

It bound datagrams at the number that the system gave for connections, which another process held. Ruled out: the ports of boxes, which are below that range. LabTest holds that number and sees the link take another.

--- a/src/main/java/wharftrestle/lab/Link.java
+++ b/src/main/java/wharftrestle/lab/Link.java
@@ -22,6 +22,8 @@
  */
 public final class Link implements Closeable {
     private static final InetAddress HOST = InetAddress.getLoopbackAddress();
+    /** Tries for a port that is free for both kinds. */
+    private static final int MOST_TRIES = 20;
     private static final int CONNECT_MS = 1000;
     private static final int LARGEST = 65_000;
 
@@ -77,8 +79,9 @@
         this.to = to;
         there = new Wire(seed);
         here = new Wire(seed + 1);
-        streams = new ServerSocket(0, 100, HOST);
-        datagrams = new DatagramSocket(streams.getLocalPort(), HOST);
+        Ports mine = ports(0);
+        streams = mine.streams();
+        datagrams = mine.datagrams();
         back = new DatagramSocket(0, HOST);
         thread(this::accept);
         thread(() -> pass(datagrams, back, there));
@@ -86,6 +89,29 @@
         thread(this::sendLate);
     }
 
+    /** One port, for connections and for datagrams. */
+    record Ports(ServerSocket streams, DatagramSocket datagrams) { }
+
+    /**
+     * A port of both kinds, that one where it can be had and else any. Guards against a port that is free for connections and
+     * held for datagrams by somebody else on this machine: the system chooses by the first kind alone.
+     */
+    static Ports ports(int wanted) throws IOException {
+        int port = wanted;
+        for (int tries = 0;; tries++) {
+            ServerSocket streams = new ServerSocket(port, 100, HOST);
+            try {
+                return new Ports(streams, new DatagramSocket(streams.getLocalPort(), HOST));
+            } catch (IOException taken) {
+                streams.close();
+                port = 0;
+                if (tries >= MOST_TRIES) {
+                    throw taken;
+                }
+            }
+        }
+    }
+
     /** Where it is reached. */
     public InetSocketAddress address() {
         return (InetSocketAddress) streams.getLocalSocketAddress();
--- a/src/test/java/wharftrestle/lab/LabTest.java
+++ b/src/test/java/wharftrestle/lab/LabTest.java
@@ -345,6 +345,17 @@
         assertTrue(play(Mutant.RUNS_AFTER_ITS_NOTICE).ranLate() > 0);
     }
 
+    @Test
+    void aLinkTakesAnotherPortWhereDatagramsOfSomebodyElseHaveTheFirst() throws Exception {
+        try (DatagramSocket other = new DatagramSocket(0, HOST)) {
+            Link.Ports pair = Link.ports(other.getLocalPort());
+            try (ServerSocket streams = pair.streams(); DatagramSocket datagrams = pair.datagrams()) {
+                assertEquals(streams.getLocalPort(), datagrams.getLocalPort());
+                assertTrue(streams.getLocalPort() != other.getLocalPort());
+            }
+        }
+    }
+
     @Test
     void theStandInPoolRunsARequestOnceHoweverOftenItIsAskedFor() throws Exception {
         byte[] spawn = Bytes.ascii("spawn 0000000000000001 save 4\r\nnote\r\n");
