--- a/src/main/java/wharftrestle/lab/Link.java
+++ b/src/main/java/wharftrestle/lab/Link.java
@@ -93,8 +93,8 @@
     record Ports(ServerSocket streams, DatagramSocket datagrams) { }
 
     /**
-     * A port of both kinds, that one where it can be had and else any. Guards against a port that is free for connections and
-     * held for datagrams by somebody else on this machine: the system chooses by the first kind alone.
+     * A port of both kinds, that one where it can be had and else any. Guards against a port that is free for connections
+     * and held for datagrams by somebody else on this machine: the system chooses by the first kind alone.
      */
     static Ports ports(int wanted) throws IOException {
         int port = wanted;
