Tell silent peers to go at once: none with work is turned away while others say the word

Checked and ruled out: descriptors (53 open, none short), requests cut while their bytes were on the way (its connection was never taken), peers that are heard (they may go before the word). At fault: Server.makeRoom gave the word to the threads for words, also for silent peers, and cutFirst may not close a connection whose word is owed. A silent peer was sent a few errors at most, so its word fits what the system holds: the accepting thread says it itself, as it does to those it turns away. ServerTest.silentPeersMakeRoomForWork... holds all threads for words and fails without the mend: the newcomer reads the word to go instead of its answer.

--- a/src/main/java/wharftrestle/net/Server.java
+++ b/src/main/java/wharftrestle/net/Server.java
@@ -313,9 +313,13 @@
             boolean silent = least.merit() == Merit.SILENT;
             if ((!silent || least.free()) && (go < leaving || cutFirst())) {
                 counters.add(Count.DISMISSED);
-                tellToGo(least, Connection.REST_MS);
                 if (silent) {
+                    // Said here: it was sent nothing but a few errors, so the word fits what the system holds for it. Guards
+                    // against newcomers with work that are turned away while others have yet to say it to silent ones.
+                    least.goAway();
                     least.finish();   // what a new connection brings has failed where it is closed
+                } else {
+                    tellToGo(least, Connection.REST_MS);
                 }
                 return true;
             }
--- a/src/test/java/wharftrestle/net/ServerTest.java
+++ b/src/test/java/wharftrestle/net/ServerTest.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -66,6 +67,25 @@
         }
     }
 
+    /** Whose word to go takes as long as the gate is shut, as a write to a peer that reads nothing; not to silent peers. */
+    private Server.Front deaf() {
+        Bytewise bytewise = new Bytewise();
+        return new Server.Front() {
+            @Override
+            public void serve(Connection connection) throws IOException {
+                bytewise.serve(connection);
+            }
+
+            @Override
+            public void sayClosing(Connection connection) {
+                if (connection.merit() != Merit.SILENT) {
+                    awaitGate();
+                }
+                bytewise.sayClosing(connection);
+            }
+        };
+    }
+
     private void awaitGate() {
         try {
             gate.await();
@@ -79,7 +99,11 @@
     }
 
     private Server server(int most, Server.Front front) throws IOException {
-        Server server = new Server("test", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), most, 16, front,
+        return server(most, 16, front);
+    }
+
+    private Server server(int most, int leaving, Server.Front front) throws IOException {
+        Server server = new Server("test", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), most, leaving, front,
                 counters);
         server.listen(false, true);
         return server;
@@ -260,19 +284,7 @@
 
     @Test
     void whoCannotBeToldToGoHoldsUpNeitherNewcomersNorTheEnd() throws Exception {
-        Bytewise bytewise = new Bytewise();
-        Server.Front deaf = new Server.Front() {
-            @Override
-            public void serve(Connection connection) throws IOException {
-                bytewise.serve(connection);
-            }
-
-            @Override
-            public void sayClosing(Connection connection) {
-                awaitGate();   // as a write to a peer that reads nothing
-                bytewise.sayClosing(connection);
-            }
-        };
+        Server.Front deaf = deaf();
         try (Server server = server(1, deaf); Socket rests = peer(server)) {
             server.start();
             write(rests, "a");
@@ -288,6 +300,37 @@
         }
     }
 
+    @Test
+    void silentPeersMakeRoomForWorkThoughAllWhoSayTheWordAreHeldUp() throws Exception {
+        int words = 4;   // threads that say it
+        List<Socket> peers = new ArrayList<>();
+        try (Server server = server(words + 1, words + 1, deaf())) {
+            server.start();
+            for (int i = 0; i < words; i++) {
+                peers.add(peer(server));
+                write(peers.get(i), "w");   // owed an answer: not to be closed for others
+            }
+            while (server.connections().stream().mapToInt(Connection::owed).sum() < words) {
+                Thread.onSpinWait();
+            }
+            server.goAway();
+            for (int i = 0; i < words + 2; i++) {
+                peers.add(peer(server));   // silent ones, one more than there is room for
+            }
+            try (Socket comes = peer(server)) {
+                write(comes, "c");
+                assertEquals("C", read(comes, 1), "who comes with work gets in");
+                assertEquals(BYE, rest(peers.get(words)), "the first silent one is told, and ends");
+                assertEquals(0, counters.get(Count.TURNED_AWAY));
+            }
+            gate.countDown();
+        } finally {
+            for (Socket each : peers) {
+                each.close();
+            }
+        }
+    }
+
     @Test
     void allThatWaitsAtAListenerThatEndsIsTaken() throws Exception {
         try (Server server = server(8); Socket one = peer(server); Socket two = peer(server)) {
