--- a/src/main/java/wharftrestle/front/Uwsgi.java
+++ b/src/main/java/wharftrestle/front/Uwsgi.java
@@ -107,14 +107,16 @@
             connection.finish();
             connection.end();
         }));
-        for (int extra = 0; extra < LONGEST_VARS; extra++) {
+        int extra = 0;
+        while (extra < LONGEST_VARS) {
             connection.readUntil(System.nanoTime() + LOOK_MS * 1_000_000L);
             try {
                 if (connection.in().read() < 0) {
                     return;   // its gateway's end, or the answer's: one request a connection, more is no request
                 }
+                extra++;
             } catch (SocketTimeoutException quiet) {
-                extra--;
+                continue;
             }
         }
     }
--- a/src/main/java/wharftrestle/net/Server.java
+++ b/src/main/java/wharftrestle/net/Server.java
@@ -291,7 +291,7 @@
      * is told first, and goes when it has had the time to hear of it, or when more are told than there is room for.
      */
     private boolean makeRoom() {
-        long go = open.stream().filter(each -> each.phase() != Phase.OPEN).count();
+        int go = onTheWayOut().size();
         if (open.size() - go < most) {
             return go < leaving || cutFirst();
         }
@@ -327,14 +327,17 @@
         return false;
     }
 
+    private List<Connection> onTheWayOut() {
+        return open.stream().filter(each -> each.phase() != Phase.OPEN).toList();
+    }
+
     /** Closes one of those that go, the first of them that nothing is lost with: half closed ones before the others. */
     private boolean cutFirst() {
-        List<Connection> go = open.stream().filter(each -> each.phase() != Phase.OPEN && each.free())
-                .sorted(Comparator.comparing(Connection::phase).reversed().thenComparing(Connection::heardAt)).toList();
-        if (go.isEmpty()) {
+        Connection first = onTheWayOut().stream().filter(Connection::free)
+                .min(Comparator.comparing(Connection::phase).reversed().thenComparing(Connection::heardAt)).orElse(null);
+        if (first == null) {
             return false;
         }
-        Connection first = go.get(0);
         first.finish();
         open.remove(first);
         first.note(name, "to make room");
