--- a/src/test/java/wharftrestle/EndingsTest.java
+++ b/src/test/java/wharftrestle/EndingsTest.java
@@ -369,6 +369,77 @@
         }
     }
 
+    // ---- Slow peers ----
+
+    /** A request of class read as it is written. */
+    private static String written(int tag, String body) {
+        String fields = "txn=" + ref(tag) + ",door=" + System.currentTimeMillis() + ",lb=1,ram=24.5,standing=0.5";
+        return "*5\r\n$3\r\nASK\r\n$1\r\n" + tag + "\r\n$4\r\nread\r\n$" + fields.length() + "\r\n" + fields + "\r\n$"
+                + body.length() + "\r\n" + body + "\r\n";
+    }
+
+    private static void check(Caller caller) throws IOException {
+        caller.send("STATUS", "99", "");
+        assertEquals("healthy", caller.reply().word());
+    }
+
+    @Test
+    void aByteAtATimeBothWaysAndFromAllSidesIsServedAndHoldsUpNobody() throws Exception {
+        try (Loopback site = new Loopback(calling()); Caller slow = site.new Caller(); Caller other = site.new Caller()) {
+            other.ask(2, "read", null, "quick");   // whoever was served is read as fast as it asks
+            site.finish(site.command().ref(), "good", 1, "");
+            assertEquals("done", other.reply().word());
+            site.drips = true;
+            String answer = "*4\r\n$1\r\n1\r\n$4\r\ndone\r\n$0\r\n\r\n$4\r\nfine\r\n";
+            for (char each : written(1, "slow").toCharArray()) {
+                slow.write(String.valueOf(each));
+                check(other);   // between any two bytes others are answered
+            }
+            assertEquals(new Command("spawn", ref(1), "read", "slow"), site.command());
+            site.block(ref(1), "select");
+            assertTrue(site.calls.poll(Loopback.WAIT_S, TimeUnit.SECONDS).endsWith("select"));
+            site.storeReplies.add(Loopback.http("200 OK", "", "rows"));
+            assertEquals(new Command("supply", ref(1), "", "rows"), site.command());
+            site.finish(ref(1), "good", 5, "fine");
+            StringBuilder read = new StringBuilder();
+            for (int i = 0; i < answer.length(); i++) {
+                read.append(slow.read(1));
+                check(other);
+            }
+            assertEquals(answer, read.toString());
+            assertEquals(0, site.life.counters().get(Count.STALLED) + site.life.counters().get(Count.MALFORMED));
+        }
+    }
+
+    @Test
+    void aMessageThatIsWholeOnlyAfterTheNoticeIsAnsweredAndOneThatNeverIsHoldsUpNobody() throws Exception {
+        try (Loopback site = new Loopback(Sites.site()); Caller slow = site.new Caller(); Caller never = site.new Caller()) {
+            site.autoMs = 1;
+            for (Caller each : List.of(slow, never)) {
+                check(each);
+                each.write("*5\r\n");   // begun while it serves
+            }
+            Thread stopping = stopping(site);
+            site.life.leave();
+            while (site.life.state() == Lifecycle.State.SERVING) {
+                Thread.onSpinWait();
+            }
+            slow.write(written(1, "slow").substring("*5\r\n".length()));
+            Reply reply = slow.reply();
+            for (; reply.tag().equals("0"); reply = slow.reply()) {
+                assertEquals("closing", reply.word());
+            }
+            assertEquals("1", reply.tag());
+            assertTrue(List.of("done", "later").contains(reply.word()), reply.word());
+            slow.close();
+            assertEquals("closing", never.reply().word());
+            assertEquals(-1, never.socket.getInputStream().read(), "an end, and no reset");
+            never.close();
+            stopping.join(STOP_MS);
+            assertEquals(Lifecycle.State.STOPPED, site.life.state());
+        }
+    }
+
     // ---- Bad input ----
 
     @Test
--- a/src/test/java/wharftrestle/Loopback.java
+++ b/src/test/java/wharftrestle/Loopback.java
@@ -57,6 +57,8 @@
     private final long[] coreFree = {System.nanoTime(), System.nanoTime()};
     private final List<long[]> work = new ArrayList<>();
     PoolPeer pool = new PoolPeer(new Workers()).start();
+    /** Where set, what the worker pool and the store say comes a byte at a time. */
+    volatile boolean drips;
     /** Where set, the worker pool reads the present link and says nothing on it; a new one is served. */
     volatile boolean mute;
     /** At the ports of worker pools of stories that are over, so that they are nobody else's; nobody listens there. */
@@ -247,7 +249,11 @@
         synchronized (notices) {
             String numbered = text.replaceFirst("%d", Integer.toString(notices.size() + 1));
             notices.add(numbered);
-            if (link.open()) {
+            if (link.open() && drips) {
+                for (char each : numbered.toCharArray()) {
+                    link.say(String.valueOf(each));
+                }
+            } else if (link.open()) {
                 link.say(numbered);
             }
         }
@@ -300,7 +306,9 @@
                         socket.close();
                         return;
                     }
-                    write(socket, reply);
+                    for (String piece : drips ? reply.split("") : new String[] {reply}) {
+                        write(socket, piece);
+                    }
                 }
             });
         }
@@ -376,6 +384,20 @@
             ask(tag, tag, System.currentTimeMillis(), type, key, body);
         }
 
+        /** Writes these bytes and no message. */
+        void write(String bytes) throws IOException {
+            socket.getOutputStream().write(Bytes.ascii(bytes));
+        }
+
+        /** Reads so many bytes, each on its own. */
+        String read(int bytes) throws IOException {
+            StringBuilder all = new StringBuilder();
+            while (all.length() < bytes) {
+                all.append((char) socket.getInputStream().read());
+            }
+            return all.toString();
+        }
+
         void ask(int tag, long ref, long door, String type, String key, String body) throws IOException {
             ask(Integer.toString(tag), ref, door, type, KB, key, body);
         }
