--- a/src/test/java/wharftrestle/lab/virtual/FloorsTest.java
+++ b/src/test/java/wharftrestle/lab/virtual/FloorsTest.java
@@ -12,8 +12,8 @@
 
 /**
  * Each class and each third of a day has its floor, with the shipped policy on a fleet in virtual time. The yardstick is
- * what the cores of all boxes can do, given to classes by worth: no policy serves more worth. Floors are as the standing test
- * has them: half of it for each class, a fifth in each third; a class of which it serves under 0.3 is left out.
+ * what the cores of all boxes can do, given to classes by worth: no policy serves more worth. Floors are as the standing
+ * test has them: half of it for each class, a fifth in each third; a class of which it serves under 0.3 is left out.
  */
 class FloorsTest {
     private static final double THIRD = 20;
