Let a rig's link take another port where streams hold the first, and wait for owed answers

Causes: Link.ports opened the wanted port for streams outside the try that falls back to any other, so a port that was free for datagrams and held by somebody's connection was an error. The story of the room took a peer that has read its answer for one that is owed none: Bytewise sends first and says so after, and between the two the server may not close it. The link's story now holds a port of each kind (it failed so without the mend); stories about room wait until nothing is owed.

--- a/src/main/java/wharftrestle/lab/Link.java
+++ b/src/main/java/wharftrestle/lab/Link.java
@@ -93,17 +93,18 @@
     record Ports(ServerSocket streams, DatagramSocket datagrams) { }
 
     /**
-     * A port of both kinds, that one where it can be had and else any. Guards against a port that is free for connections
-     * and held for datagrams by somebody else on this machine: the system chooses by the first kind alone.
+     * A port of both kinds, that one where it can be had and else any. Guards against a port that is free for one kind and
+     * held for the other by somebody else on this machine: the system chooses by one kind alone.
      */
     static Ports ports(int wanted) throws IOException {
         int port = wanted;
         for (int tries = 0;; tries++) {
-            ServerSocket streams = new ServerSocket(port, 100, HOST);
+            ServerSocket streams = null;
             try {
+                streams = new ServerSocket(port, 100, HOST);
                 return new Ports(streams, new DatagramSocket(streams.getLocalPort(), HOST));
             } catch (IOException taken) {
-                streams.close();
+                Bytes.closeQuietly(streams);
                 port = 0;
                 if (tries >= MOST_TRIES) {
                     throw taken;
--- a/src/test/java/wharftrestle/lab/LabTest.java
+++ b/src/test/java/wharftrestle/lab/LabTest.java
@@ -345,14 +345,19 @@
         assertTrue(play(Mutant.RUNS_AFTER_ITS_NOTICE).ranLate() > 0);
     }
 
+    private static void takesAnotherThan(int held) throws Exception {
+        Link.Ports pair = Link.ports(held);
+        try (ServerSocket streams = pair.streams(); DatagramSocket datagrams = pair.datagrams()) {
+            assertEquals(streams.getLocalPort(), datagrams.getLocalPort());
+            assertTrue(streams.getLocalPort() != held);
+        }
+    }
+
     @Test
-    void aLinkTakesAnotherPortWhereDatagramsOfSomebodyElseHaveTheFirst() throws Exception {
-        try (DatagramSocket other = new DatagramSocket(0, HOST)) {
-            Link.Ports pair = Link.ports(other.getLocalPort());
-            try (ServerSocket streams = pair.streams(); DatagramSocket datagrams = pair.datagrams()) {
-                assertEquals(streams.getLocalPort(), datagrams.getLocalPort());
-                assertTrue(streams.getLocalPort() != other.getLocalPort());
-            }
+    void aLinkTakesAnotherPortWhereSomebodyElseHasTheFirst() throws Exception {
+        try (DatagramSocket datagrams = new DatagramSocket(0, HOST); ServerSocket streams = new ServerSocket(0, 1, HOST)) {
+            takesAnotherThan(datagrams.getLocalPort());
+            takesAnotherThan(streams.getLocalPort());
         }
     }
 
--- a/src/test/java/wharftrestle/net/ServerTest.java
+++ b/src/test/java/wharftrestle/net/ServerTest.java
@@ -129,6 +129,13 @@
         socket.getOutputStream().write(Bytes.ascii(text));
     }
 
+    /** Waits until so many requests are owed their answers: one is still for an instant after its peer has it. */
+    private static void awaitOwed(Server server, int requests) {
+        while (server.connections().stream().mapToInt(Connection::owed).sum() != requests) {
+            Thread.onSpinWait();
+        }
+    }
+
     private static void awaitNone(Server server) {
         while (!server.connections().isEmpty()) {
             Thread.onSpinWait();
@@ -175,9 +182,7 @@
         try (Server server = server(8); Socket peer = peer(server)) {
             server.start();
             write(peer, "w");
-            while (server.connections().stream().mapToInt(Connection::owed).sum() == 0) {
-                Thread.onSpinWait();
-            }
+            awaitOwed(server, 1);
             server.goAway();
             assertEquals(BYE, read(peer, 3));
             write(peer, "b");                      // crosses the word: it is taken, as an answer is owed still
@@ -268,10 +273,9 @@
             server.start();
             write(rests, "a");
             assertEquals("A", read(rests, 1));
+            awaitOwed(server, 0);
             write(works, "w");
-            while (server.connections().stream().mapToInt(Connection::owed).sum() == 0) {
-                Thread.onSpinWait();
-            }
+            awaitOwed(server, 1);
             try (Socket comes = peer(server)) {
                 write(comes, "c");
                 assertEquals("C", read(comes, 1), "who comes with work gets in");
@@ -289,6 +293,7 @@
             server.start();
             write(rests, "a");
             assertEquals("A", read(rests, 1));
+            awaitOwed(server, 0);
             try (Socket comes = peer(server)) {
                 write(comes, "c");
                 assertEquals("C", read(comes, 1), "room was made");
@@ -310,9 +315,7 @@
                 peers.add(peer(server));
                 write(peers.get(i), "w");   // owed an answer: not to be closed for others
             }
-            while (server.connections().stream().mapToInt(Connection::owed).sum() < words) {
-                Thread.onSpinWait();
-            }
+            awaitOwed(server, words);
             server.goAway();
             for (int i = 0; i < words + 2; i++) {
                 peers.add(peer(server));   // silent ones, one more than there is room for
