Let no Error end the writer of kept results, or the link between a box's two processes

Seen by reading each thread's end: an Error (memory short for a moment) while a batch was written ended the results' writer with that batch told to nobody, and kept keyed requests refused for the rest of the process; one in whoever was told did the same. An Error while the other process was heard closed the link, whose end says that a process has ended, and never gave its place back: after four of them no process could take over. One as a link was written left its words waiting for ever. LogTest.anErrorOfAnyKind... and aFaultInWhoIsTold... and BoxLinkTest fail without the mends (no word from the disk; false; broken pipe).

--- a/src/main/java/wharftrestle/durable/Journal.java
+++ b/src/main/java/wharftrestle/durable/Journal.java
@@ -397,7 +397,8 @@
                 } else {
                     put(all);
                 }
-            } catch (IOException e) {
+            } catch (IOException | RuntimeException | Error e) {
+                // Guards against a batch that is told nothing, and a writer that ends, as memory was short for a moment.
                 fail(e);
             } finally {
                 batchBegan = 0;
@@ -417,7 +418,7 @@
     private static void tell(Ticket ticket) {
         try {
             ticket.told.written(ticket.place);
-        } catch (RuntimeException fault) {
+        } catch (RuntimeException | Error fault) {
             Logger.error(fault, "word of a record");
         }
     }
@@ -488,7 +489,7 @@
     }
 
     /** Guards against trusting a file after its sync failed: the kernel may have thrown its pages away. */
-    private void fail(IOException e) {
+    private void fail(Throwable e) {
         errors++;
         failedAt = System.nanoTime();
         state = State.FAILED;
@@ -514,7 +515,7 @@
                 state = State.OPEN;
                 Logger.info("kept results: the disk takes records again");
             }
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException | Error e) {
             if (state == State.OPEN || System.nanoTime() - failedAt > AGAIN_MS * 1_000_000) {
                 fail(e);
             }
--- a/src/main/java/wharftrestle/net/BoxLink.java
+++ b/src/main/java/wharftrestle/net/BoxLink.java
@@ -104,11 +104,20 @@
             while (server.isOpen()) {
                 try {
                     links.acquire();
-                    BoxLink link = new BoxLink(server.accept(), core, side);
-                    Threads.thread("box", () -> {
-                        link.converse();
-                        links.release();
-                    }).start();
+                    SocketChannel channel = server.accept();
+                    try {
+                        BoxLink link = new BoxLink(channel, core, side);
+                        Threads.thread("box", () -> {
+                            try {
+                                link.converse();
+                            } finally {
+                                links.release();
+                            }
+                        }).start();
+                    } catch (RuntimeException | Error noThread) {
+                        Bytes.closeQuietly(channel);   // nothing was heard on it: whoever comes tries again
+                        throw noThread;
+                    }
                 } catch (IOException | RuntimeException | Error e) {
                     // Guards against a box that no process can take over any more, as descriptors were short once.
                     Logger.debug("hand-over: {}", e.toString());
@@ -196,7 +205,7 @@
                 for (;;) {
                     hear(Bytes.line(in, LONGEST_LINE).split(" "), in);
                 }
-            } catch (Server.MalformedException | RuntimeException e) {
+            } catch (Server.MalformedException | RuntimeException | Error e) {
                 Logger.error("the other process of this box is not understood ({}): nothing more is said or heard until it"
                         + " has ended", e.toString());
                 hush();
@@ -316,8 +325,9 @@
                     words.notifyAll();
                 }
             }
-        } catch (IOException e) {
-            hush();   // its end is heard where words are read
+        } catch (IOException | RuntimeException | Error e) {
+            Logger.debug("hand-over: {}", e.toString());
+            hush();   // its end is heard where words are read; half a word must not be followed by another
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/test/java/wharftrestle/durable/LogTest.java
+++ b/src/test/java/wharftrestle/durable/LogTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -352,19 +353,20 @@
         assertTrue(operations > 20 && operations < 100, operations + " operations were cut");
     }
 
-    @Example
-    void aFaultOfTheDiskIsToldAndAFreshFileGoesOn() throws Exception {
+    /** The next write goes well and its sync does not: that is told, and a fresh file goes on. */
+    private static void goesOnAfter(Consumer<MemoryDisk> fault) throws Exception {
         MemoryDisk disk = new MemoryDisk();
         try (Journal journal = new Journal(settings(4, "group"), () -> disk)) {
             journal.open(WINDOW);
             run(journal, "2/0/before", result(1));
-            disk.fail(2, 1);   // the write goes well, its sync does not
+            fault.accept(disk);
             Word intent = new Word();
             journal.intend(keyed("2/0/at"), intent);
             assertEquals(-1, intent.await());
             assertEquals(Records.Refusal.DISK_FAILED, journal.refusal());
             assertNull(journal.intend(keyed("2/0/while"), intent), "nothing is recorded meanwhile");
-            while (journal.refusal() != null) {
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+            while (journal.refusal() != null && System.nanoTime() < until) {
                 Thread.onSpinWait();
             }
             assertTrue(run(journal, "2/0/after", result(2)) >= 0);
@@ -372,6 +374,27 @@
         }
     }
 
+    @Example
+    void aFaultOfTheDiskIsToldAndAFreshFileGoesOn() throws Exception {
+        goesOnAfter(disk -> disk.fail(2, 1));
+    }
+
+    @Example
+    void anErrorOfAnyKindIsToldAndAFreshFileGoesOn() throws Exception {
+        goesOnAfter(disk -> disk.failBadly(2, 1));
+    }
+
+    @Example
+    void aFaultInWhoIsToldEndsNoWriter() throws Exception {
+        try (Journal journal = new Journal(settings(4, "group"), MemoryDisk::new)) {
+            journal.open(WINDOW);
+            journal.intend(keyed("2/0/bad"), place -> {
+                throw new StackOverflowError("made up");
+            });
+            assertTrue(run(journal, "2/0/good", result(1)) >= 0);
+        }
+    }
+
     @Example
     void aStalledDiskIsSeenAndWhatWaitsCanBeTakenBack() throws Exception {
         MemoryDisk disk = new MemoryDisk();
--- a/src/test/java/wharftrestle/durable/MemoryDisk.java
+++ b/src/test/java/wharftrestle/durable/MemoryDisk.java
@@ -27,6 +27,7 @@
     private int operations;
     private int failAt = -1;
     private int failures;
+    private boolean bug;
     private int dieAt = -1;
     private boolean dead;
     private volatile CountDownLatch stall;
@@ -39,6 +40,12 @@
         failures = times;
     }
 
+    /** The same by an error that no caller of a disk reckons with. */
+    synchronized void failBadly(int in, int times) {
+        fail(in, times);
+        bug = true;
+    }
+
     /** Power is lost before the n-th operation from now. */
     synchronized void die(int in) {
         dieAt = operations + in;
@@ -129,6 +136,9 @@
             throw new IOException("no power");
         }
         if (failAt >= 0 && operations >= failAt && operations < failAt + failures) {
+            if (bug) {
+                throw new OutOfMemoryError("made up");
+            }
             throw new IOException("a fault put in at operation " + operations);
         }
     }
