--- a/src/test/java/wharftrestle/prove/ProveCold.java
+++ b/src/test/java/wharftrestle/prove/ProveCold.java
@@ -42,8 +42,8 @@
     /** What reaches cold boxes from callers of each kind, and what these let onto their cores. */
     private static Reached reached(int seeds, long seed) {
         boolean holds = true;
-        StringBuilder figures = new StringBuilder("; reached by callers of no ramp, of a share, of a share with three in ten deaf, each"
-                + " as if alone, and most on the cores (if all were run)");
+        StringBuilder figures = new StringBuilder("; reached by callers of no ramp, of a share, of a share with three in ten"
+                + " deaf, each as if alone, and most on the cores (if all were run)");
         for (int many : BOXES) {
             List<ReachPlay.Result> all = List.of(reach(many, Ramp.NONE, 0, Start.COLD, seeds, seed),
                     reach(many, Ramp.SHARE, 0, Start.COLD, seeds, seed),
