--- a/src/test/java/wharftrestle/DaemonTest.java
+++ b/src/test/java/wharftrestle/DaemonTest.java
@@ -219,10 +219,7 @@
         try (Loopback site = new Loopback(Sites.site()); Caller good = site.new Caller()) {
             for (String bad : new String[] {"GET / HTTP/1.1\r\n", "*9999999\r\n", "*2\r\n$999999999\r\n",
                 "*1\r\n$-1\r\n", "*3\r\n$3\r\nASK\r\n$2\r\n+1\r\n$4\r\nread\r\n"}) {
-                try (Caller peer = site.new Caller()) {
-                    peer.socket.getOutputStream().write(bad.getBytes("ISO-8859-1"));
-                    assertEquals(-1, peer.socket.getInputStream().read(), bad);
-                }
+                site.endsWhoSays(bad);
             }
             assertEquals(5, site.life.counters().get(Count.MALFORMED));
             site.raw("what is this\r\n");   // the worker pool's link too: it is made anew
@@ -422,14 +419,7 @@
             assertEquals("spawn", site.command().verb());
             caller.ask(2, "long", null, "hangs");
             assertEquals("spawn", site.command().verb());
-            Thread stopping = new Thread(() -> {
-                try {
-                    site.life.serveUntilStopped();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            });
-            stopping.start();
+            Thread stopping = site.stopping();
             site.life.leave();
             for (String report = site.report(); !report.equals("renew n1 no"); report = site.report()) {
                 assertEquals("renew n1 yes", report);
--- a/src/test/java/wharftrestle/EndingsTest.java
+++ b/src/test/java/wharftrestle/EndingsTest.java
@@ -9,7 +9,6 @@
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
-import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -25,7 +24,6 @@
 import wharftrestle.core.Threads;
 import wharftrestle.keys.KeyRoom;
 import wharftrestle.lab.RespPeer.Reply;
-import wharftrestle.net.Bytes;
 import wharftrestle.ops.Counters;
 import wharftrestle.ops.Counters.Count;
 import wharftrestle.policy.Admission;
@@ -46,18 +44,6 @@
         return site;
     }
 
-    private static Thread stopping(Loopback site) {
-        Thread stopping = new Thread(() -> {
-            try {
-                site.life.serveUntilStopped();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        stopping.start();
-        return stopping;
-    }
-
     // ---- Requests and their answers ----
 
     @Test
@@ -143,7 +129,7 @@
             assertEquals("fine", rests.reply().body());
             works.ask(1, 2, System.currentTimeMillis(), "long", null, "hangs");
             assertEquals("spawn", site.command().verb());
-            Thread stopping = stopping(site);
+            Thread stopping = site.stopping();
             site.life.leave();
             assertEquals("closing", rests.reply().word());
             assertEquals(-1, rests.socket.getInputStream().read(), "an end");
@@ -165,7 +151,7 @@
     @Test
     void whatWaitsInTheBacklogAtTheEndIsAnswered() throws Exception {
         try (Loopback site = new Loopback(Sites.site()); Caller busy = site.new Caller()) {
-            Thread stopping = stopping(site);
+            Thread stopping = site.stopping();
             site.life.leave();
             site.life.leave();   // a second notice is none
             do {
@@ -191,7 +177,7 @@
         try (Loopback site = new Loopback(calling()); Caller caller = site.new Caller()) {
             caller.ask(1, "keyed", "k", "x");
             site.command();
-            Thread stopping = stopping(site);
+            Thread stopping = site.stopping();
             site.life.leave();
             while (site.life.state() == Lifecycle.State.SERVING) {
                 Thread.onSpinWait();
@@ -229,7 +215,7 @@
             assertEquals(Lifecycle.State.SERVING, site.life.state());
             early.tell(site.life);
             assertEquals(1, read.get(), "the hangup is made up for");
-            Thread stopping = stopping(site);
+            Thread stopping = site.stopping();
             stopping.join(STOP_MS);
             assertEquals(Lifecycle.State.STOPPED, site.life.state(), "and so is the notice to leave");
         }
@@ -419,7 +405,7 @@
                 check(each);
                 each.write("*5\r\n");   // begun while it serves
             }
-            Thread stopping = stopping(site);
+            Thread stopping = site.stopping();
             site.life.leave();
             while (site.life.state() == Lifecycle.State.SERVING) {
                 Thread.onSpinWait();
@@ -446,13 +432,7 @@
     void aFloodOfNonsenseIsOneLineASecondAndIsCountedByReason() throws Exception {
         try (Loopback site = new Loopback(Sites.site()); Caller good = site.new Caller()) {
             for (int i = 0; i < 200; i++) {
-                try (Socket bad = new Socket()) {
-                    bad.connect(site.life.respAddress());
-                    bad.getOutputStream().write(Bytes.ascii("*9\r\n"));
-                    assertEquals(-1, bad.getInputStream().read());
-                } catch (IOException reset) {
-                    throw new AssertionError("an orderly end, not a reset", reset);
-                }
+                site.endsWhoSays("*9\r\n");
             }
             assertEquals(200, site.life.counters().get(Count.MALFORMED));
             good.ask(1, "read", null, "x");
@@ -466,7 +446,7 @@
         try (Loopback site = new Loopback(Sites.site()); Caller caller = site.new Caller()) {
             caller.ask(1, "read", null, "x");
             assertEquals("spawn", site.command().verb());
-            caller.socket.getOutputStream().write(Bytes.ascii("*5\r\n$3\r\nAS"));   // and stands still
+            caller.write("*5\r\n$3\r\nAS");   // and stands still
             site.finish(ref(1), "good", 1, "fine");
             assertEquals("fine", caller.reply().body());
             caller.socket.shutdownOutput();
--- a/src/test/java/wharftrestle/Loopback.java
+++ b/src/test/java/wharftrestle/Loopback.java
@@ -1,5 +1,6 @@
 package wharftrestle;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
 import java.io.BufferedInputStream;
@@ -160,6 +161,27 @@
         thread.start();
     }
 
+    /** Waits for the notice on a thread that ends when the process may. */
+    Thread stopping() {
+        Thread stopping = new Thread(() -> {
+            try {
+                life.serveUntilStopped();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        stopping.start();
+        return stopping;
+    }
+
+    /** A peer that says this is ended in order: nothing comes but an end, and no reset. */
+    void endsWhoSays(String nonsense) throws IOException {
+        try (Caller peer = new Caller()) {
+            peer.write(nonsense);
+            assertEquals(-1, peer.socket.getInputStream().read(), nonsense);
+        }
+    }
+
     // ---- Worker pool ----
 
     /** What the worker pool does: it takes a core for a while, or the story says what comes of each command. */
--- a/src/test/java/wharftrestle/ResultsTest.java
+++ b/src/test/java/wharftrestle/ResultsTest.java
@@ -98,14 +98,7 @@
         try (Loopback site = new Loopback(Sites.site(), keeping(first)); Caller caller = site.new Caller()) {
             ask(caller, 1, 1, "k", "a");
             Command spawn = site.command();
-            Thread end = new Thread(() -> {
-                try {
-                    site.life.serveUntilStopped();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            });
-            end.start();
+            Thread end = site.stopping();
             site.life.leave();
             site.finish(spawn.ref(), "good", 1, "last");
             Reply reply = caller.reply();
