Hold each answer to the rig's callers against its due time

An answer past its due time by more than 0.5 s (the rule's slack, and threads' error) breaks a rule now, but where its box was killed, cut or stopped; a process that stood still has that time added (ProveChange).

--- a/src/main/java/wharftrestle/lab/Callers.java
+++ b/src/main/java/wharftrestle/lab/Callers.java
@@ -20,8 +20,8 @@
 
 /**
  * Stand-in front ends that ask keyed requests and repeat them, and the checker of what they are told: lost, given other
- * bytes, run twice, refused after a run. The worker pool knows what ran; what they count is held against that, and never
- * against what a daemon says of itself.
+ * bytes, run twice, refused after a run, overdue. The worker pool knows what ran; what they count is held against that, and
+ * never against what a daemon says of itself.
  */
 public final class Callers {
     /**
@@ -54,6 +54,8 @@
     private static final long BLUR_MS = 50;
     /** Milliseconds after a notice to leave in which what arrives may still run, as the rig's settings have it. */
     private static final long GRACE_MS = 2000;
+    /** Milliseconds past its due time in which an answer may come: the rule's slack, and threads' and clocks' error. */
+    private static final long DUE_BLUR_MS = 500;
     /** Nanoseconds by which a paced caller may be behind and still ask what it missed. */
     private static final long PACE_BEHIND = 1_000_000_000L;
 
@@ -76,26 +78,26 @@
     }
 
     /**
-     * What was seen; the rules are broken where the first seven are not 0. Failed after a result are keys that had theirs
+     * What was seen; the rules are broken where the first eight are not 0. Failed after a result are keys that had theirs
      * once. The slowest answer took so many ms.
      */
     public record Tally(int runTwice, int refusedAfterRun, int otherBytes, int lost, int unknown, int doubled,
-                        int ranLate, int runTwiceHolderKilled,
+                        int ranLate, int overdue, int runTwiceHolderKilled,
                         int lostExcused, int served, int repeats, int again, int failed,
                         int failedAfterResult, int refused, long slowestMs) {
         /** True where no rule was broken. */
         public boolean holds() {
             return runTwice == 0 && refusedAfterRun == 0 && otherBytes == 0 && lost == 0 && unknown == 0
-                    && doubled == 0 && ranLate == 0;
+                    && doubled == 0 && ranLate == 0 && overdue == 0;
         }
 
         @Override
         public String toString() {
             return String.format(Locale.ROOT, "%d run twice, %d refused after a run, %d other bytes, %d lost, %d unknown "
-                    + "answers, %d answered twice, %d run too late after a notice; "
+                    + "answers, %d answered twice, %d run too late after a notice, %d answers overdue; "
                     + "where the only holder of keys was killed %d more run twice, by kills and cuts %d lost; "
                     + "%d served, %d of them again, %d failed, %d refused, the slowest after %d ms; %d repeats",
-                    runTwice, refusedAfterRun, otherBytes, lost, unknown, doubled, ranLate, runTwiceHolderKilled,
+                    runTwice, refusedAfterRun, otherBytes, lost, unknown, doubled, ranLate, overdue, runTwiceHolderKilled,
                     lostExcused, served, again,
                     failed, refused, slowestMs, repeats);
         }
@@ -106,6 +108,7 @@
     private final BooleanSupplier excused;
     private final LongSupplier clock;
     private final Habit habit;
+    private final long dueMs;
     private final List<Thread> desks = new ArrayList<>();
     private final List<Refusal> refusals = new CopyOnWriteArrayList<>();
     private final List<Long> forgotten = new CopyOnWriteArrayList<>();
@@ -118,24 +121,29 @@
     private final AtomicInteger otherBytes = new AtomicInteger();
     private final AtomicInteger unknown = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
+    private final AtomicInteger overdue = new AtomicInteger();
     private final AtomicInteger doubled = new AtomicInteger();
     private final Map<String, Long> firstAsked = new ConcurrentHashMap<>();
     private final List<Notice> notices = new CopyOnWriteArrayList<>();
     private final AtomicInteger lostExcused = new AtomicInteger();
     private final AtomicLong slowest = new AtomicLong();
+    private final AtomicLong paused = new AtomicLong();   // nanoseconds
     private final AtomicLong references;
     private final AtomicReference<Throwable> fault = new AtomicReference<>();
     private volatile boolean over;
 
     /**
-     * @param excused true while a connection may end without its answer, as something was killed or cut
+     * @param excused true while a connection may end without its answer, or one come late, as something was killed, cut or
+     *                stopped
      */
     public Callers(Floor floor, Habit habit, long seed, BooleanSupplier excused) {
-        this(floor.address(), floor.pool(), floor.clock()::millis, habit, seed, excused);
+        this(floor.address(), floor.pool(), floor.clock()::millis, habit, Floor.DUE_MS, seed, excused);
     }
 
-    /** The same for any address, worker pool and clock of a machine, Unix ms. */
-    Callers(InetSocketAddress to, WorkerPool pool, LongSupplier clock, Habit habit, long seed, BooleanSupplier excused) {
+    /** The same for any address, worker pool and clock of a machine, Unix ms, where an answer is due in so many ms. */
+    Callers(InetSocketAddress to, WorkerPool pool, LongSupplier clock, Habit habit, long dueMs, long seed,
+            BooleanSupplier excused) {
+        this.dueMs = dueMs;
         this.to = to;
         this.pool = pool;
         this.clock = clock;
@@ -193,6 +201,11 @@
         return late;
     }
 
+    /** A process that serves stands still for so many ms: answers may take so much longer, and no others. */
+    public void paused(long ms) {
+        paused.addAndGet(TimeUnit.MILLISECONDS.toNanos(ms));
+    }
+
     /** Requests that were refused up to now. */
     public int refused() {
         return refused.get();
@@ -239,7 +252,7 @@
         }
         int afterRun = (int) refusals.stream().filter(each -> !forgottenBetween(each.begun(), each.at())).count();
         return new Tally(twice, afterRun, otherBytes.get(), lost.get(), unknown.get(), doubled.get(),
-                ranLate(), twiceHolderKilled, lostExcused.get(),
+                ranLate(), overdue.get(), twiceHolderKilled, lostExcused.get(),
                 served.get(), repeats.get(), again.get(), failed.get(), failedAfterResult.get(), refused.get(),
                 TimeUnit.NANOSECONDS.toMillis(slowest.get()));
     }
@@ -269,9 +282,15 @@
                 }
                 desk = desk != null ? desk : new Desk(to, clock);
                 long asked = System.nanoTime();
+                long stood = paused.get();
                 firstAsked.putIfAbsent(key.body, asked);
                 RespPeer.Reply reply = desk.ask("save", references.incrementAndGet(), key.name, key.body);
-                slowest.accumulateAndGet(System.nanoTime() - asked, Math::max);
+                long took = System.nanoTime() - asked;
+                slowest.accumulateAndGet(took, Math::max);
+                long most = TimeUnit.MILLISECONDS.toNanos(dueMs + DUE_BLUR_MS) + paused.get() - stood;
+                if (took > most && !excused.getAsBoolean()) {
+                    overdue.incrementAndGet();
+                }
                 lostKey = null;
                 repeats.addAndGet(repeat ? 1 : 0);
                 judge(key, reply);
--- a/src/main/java/wharftrestle/lab/Floor.java
+++ b/src/main/java/wharftrestle/lab/Floor.java
@@ -30,6 +30,8 @@
     private static final InetAddress HOST = InetAddress.getLoopbackAddress();
     /** Milliseconds of a run at most. */
     private static final int LONGEST_RUN = 25;
+    /** Milliseconds in which an answer is due, for each class. */
+    static final long DUE_MS = 6000;
     /** Milliseconds in which a daemon that is alone serves. */
     private static final long READY_MS = 30_000;
 
@@ -59,17 +61,17 @@
     public record Settings(int memoryMb, int window, boolean moved, boolean more) {
         private List<String> classes() {
             List<String> all = new ArrayList<>(List.of("""
-                    {"deadline": 6, "importance": 1, "lateWorth": 0, "memorySpan": %d, "name": "read",
-                     "repeat": "read_like", "slo": 2}""".formatted(window), """
-                    {"deadline": 6, "importance": 3, "lateWorth": 0.2, "memorySpan": %d, "name": "save",
-                     "repeat": "idempotency_key", "slo": 2}""".formatted(window)));
+                    {"deadline": %s, "importance": 1, "lateWorth": 0, "memorySpan": %d, "name": "read",
+                     "repeat": "read_like", "slo": 2}""".formatted(DUE_MS / 1000.0, window), """
+                    {"deadline": %s, "importance": 3, "lateWorth": 0.2, "memorySpan": %d, "name": "save",
+                     "repeat": "idempotency_key", "slo": 2}""".formatted(DUE_MS / 1000.0, window)));
             if (moved) {
                 Collections.reverse(all);
             }
             if (more) {
                 all.add("""
-                    {"deadline": 6, "importance": 2, "lateWorth": 0, "memorySpan": %d, "name": "extra",
-                     "repeat": "idempotency_key", "slo": 2}""".formatted(window));
+                    {"deadline": %s, "importance": 2, "lateWorth": 0, "memorySpan": %d, "name": "extra",
+                     "repeat": "idempotency_key", "slo": 2}""".formatted(DUE_MS / 1000.0, window));
             }
             return all;
         }
--- a/src/test/java/wharftrestle/lab/LabTest.java
+++ b/src/test/java/wharftrestle/lab/LabTest.java
@@ -250,7 +250,11 @@
     // ---- Checkers: each is seen to fail on a daemon that breaks its rule ----
 
     private enum Mutant { NONE, RUNS_TWICE, REFUSES_AFTER_RUN, GIVES_OTHER_BYTES, LOSES, SAYS_WHAT_NOBODY_KNOWS,
-            ANSWERS_TWICE, RUNS_AFTER_ITS_NOTICE }
+            ANSWERS_TWICE, RUNS_AFTER_ITS_NOTICE, ANSWERS_WHEN_OVERDUE }
+
+    /** Milliseconds in which the daemon of the checkers' stories owes an answer, and those after which one answers late. */
+    private static final long DUE_MS = 1000;
+    private static final long LATE_MS = 1700;
 
     /** A daemon in one thread that knows each key's result, and breaks one rule where it is told to. */
     private static Callers.Tally play(Mutant mutant) throws Exception {
@@ -268,7 +272,7 @@
             });
             daemon.start();
             Callers callers = new Callers((InetSocketAddress) front.getLocalSocketAddress(), pool, System::currentTimeMillis,
-                    Callers.Habit.of(1, 9000), 11, () -> false);
+                    Callers.Habit.of(1, 9000), DUE_MS, 11, () -> false);
             if (mutant == Mutant.RUNS_AFTER_ITS_NOTICE) {
                 callers.noticed(System.nanoTime() - TimeUnit.SECONDS.toNanos(3));
             }
@@ -303,6 +307,9 @@
                 if (mutant == Mutant.LOSES && request == 9) {
                     return;
                 }
+                if (mutant == Mutant.ANSWERS_WHEN_OVERDUE && request == 9) {
+                    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(LATE_MS));
+                }
                 if (again && mutant == Mutant.REFUSES_AFTER_RUN) {
                     out.write(reply(words[1], "later", new byte[0]));
                     continue;
@@ -343,6 +350,7 @@
         assertTrue(play(Mutant.SAYS_WHAT_NOBODY_KNOWS).unknown() > 0);
         assertTrue(play(Mutant.ANSWERS_TWICE).doubled() > 0);
         assertTrue(play(Mutant.RUNS_AFTER_ITS_NOTICE).ranLate() > 0);
+        assertTrue(play(Mutant.ANSWERS_WHEN_OVERDUE).overdue() > 0);
     }
 
     private static void takesAnotherThan(int held) throws Exception {
--- a/src/test/java/wharftrestle/prove/ProveChange.java
+++ b/src/test/java/wharftrestle/prove/ProveChange.java
@@ -174,6 +174,7 @@
             seen.stops++;
             victim.stopped(true);
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(wait));
+            callers.paused(wait);
             victim.stopped(false);
         } else if (kind < 6 && !former) {
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(random.nextInt(1200)));
