Answer a front end that has ended its side and may read still, and know by a write who is gone

Need: one final answer to all that was read, unless the caller is known gone; an end of the peer's side says only that no more comes. At fault: Server.release took Connection.ended for a caller that has gone and dropped the answers owed. Now Connection.release is the way out in each case: it finishes, and while answers are owed it says the word to go at once, after 50 ms and 0.5 s. Whoever is gone resets that, and the next write fails: then its work is stopped as before. ServerTest.aPeerThatHasEnded... and EndingsTest.aFrontEndThatHasEnded... fail without it (an end, no answer); the story of a caller that leaves holds, its work stops 50 ms later.

--- a/src/main/java/wharftrestle/front/Resp.java
+++ b/src/main/java/wharftrestle/front/Resp.java
@@ -78,8 +78,9 @@
     }
 
     @Override
-    public void sayClosing(Connection connection) {
+    public boolean sayClosing(Connection connection) {
         connection.send(CLOSING);
+        return true;
     }
 
     @Override
--- a/src/main/java/wharftrestle/net/Connection.java
+++ b/src/main/java/wharftrestle/net/Connection.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.net.SocketAddress;
 import java.net.SocketTimeoutException;
+import java.util.Set;
 import java.util.concurrent.locks.LockSupport;
 import org.tinylog.Logger;
 import wharftrestle.net.ConnectionState.Act;
@@ -32,6 +33,8 @@
     /** Milliseconds between two looks at how far its end has come, by the thread that reads. */
     private static final int DROP_LOOK_MS = 50;
     private static final int DROP_BYTES = 2048;
+    /** Looks at which a peer that has ended its side while it was owed answers hears the word to go: 0, 0.05 and 0.5 s. */
+    private static final Set<Integer> WORD_LOOKS = Set.of(0, 1, 10);
 
     private final Socket socket;
     private final Server.Front front;
@@ -48,6 +51,7 @@
     /** What its front reads: it ends where the peer does, or where nothing is taken any more. */
     private final class Input extends Bytes.Timed {
         private volatile boolean ended;
+        private volatile boolean reset;
 
         Input() throws IOException {
             super(socket);
@@ -72,6 +76,7 @@
                 throw quiet;
             } catch (IOException e) {
                 ended = true;
+                reset = true;
                 throw e;
             }
         }
@@ -208,11 +213,6 @@
         carryOut(state.finish(System.nanoTime()));
     }
 
-    /** The peer's end was read, or its reset. */
-    boolean ended() {
-        return input.ended;
-    }
-
     boolean unread() {
         return unread;
     }
@@ -258,11 +258,32 @@
         }
     }
 
+    /**
+     * The one way out for the thread that reads: what was taken is answered, this side is shut, and the peer's end awaited.
+     * A peer that has only ended its side may read still: it is owed its answers. Whoever is gone resets what is written to
+     * it, and the write after that fails: so the word to go is said to it, and again, until no way there and back is longer.
+     */
+    void release() {
+        if (input.reset) {
+            return;   // known gone: nothing can be owed to it
+        }
+        finish();
+        if (!input.ended) {
+            drop();
+        }
+        for (int look = 0; !input.reset && state.phase() == Phase.CLOSING; look++) {
+            if (WORD_LOOKS.contains(look) && !front.sayClosing(this)) {
+                return;   // its protocol has no such word, and its callers end with their connections
+            }
+            LockSupport.parkNanos(DROP_LOOK_MS * 1_000_000L);
+        }
+    }
+
     /**
      * Reads and drops what still comes until the peer ends, or its time is over. Guards against a close over unread bytes:
      * it resets the connection, and answers that the peer has not read yet go with it.
      */
-    void drop() {
+    private void drop() {
         while (dropOnce(DROP_LOOK_MS)) {
             continue;
         }
--- a/src/main/java/wharftrestle/net/Server.java
+++ b/src/main/java/wharftrestle/net/Server.java
@@ -42,8 +42,10 @@
         /** Returns at the peer's end; throws {@link MalformedException} at what it cannot read. */
         void serve(Connection connection) throws IOException;
 
-        /** Tells a peer that no new request may come, where its protocol has a word for that. */
-        default void sayClosing(Connection connection) { }
+        /** Tells a peer that no new request may come; false where its protocol has no word for that. */
+        default boolean sayClosing(Connection connection) {
+            return false;
+        }
     }
 
     /** Input that no peer of the protocol sends. */
@@ -404,13 +406,9 @@
         }
     }
 
-    /** The one way out: what was taken is answered, this side is shut, and the peer's end awaited. */
     private void release(Connection connection, String why) {
         try {
-            if (!connection.ended()) {
-                connection.finish();
-                connection.drop();
-            }
+            connection.release();
         } finally {
             if (connection.unread()) {
                 counters.add(Count.UNREAD);
--- a/src/test/java/wharftrestle/EndingsTest.java
+++ b/src/test/java/wharftrestle/EndingsTest.java
@@ -4,11 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.lang.reflect.Proxy;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -355,6 +358,43 @@
         }
     }
 
+    // ---- Half a close ----
+
+    /** The answers to requests in hand, in any order, up to the end; the word to go may come between. */
+    private static List<Reply> answersToItsEnd(Caller caller) throws IOException {
+        List<Reply> answers = new ArrayList<>();
+        try {
+            for (;;) {
+                Reply reply = caller.reply();
+                if (!reply.tag().equals("0")) {
+                    answers.add(reply);
+                }
+            }
+        } catch (EOFException end) {
+            answers.sort(Comparator.comparing(Reply::tag));
+            return answers;
+        }
+    }
+
+    @Test
+    void aFrontEndThatHasEndedItsSideHasTheAnswersToAllThatWasRead() throws Exception {
+        try (Loopback site = new Loopback(Sites.site()); Caller caller = site.new Caller()) {
+            caller.ask(1, "keyed", "k", "x");
+            caller.ask(2, "read", null, "y");
+            List<String> refs = List.of(site.command().ref(), site.command().ref());
+            caller.write("*5\r\n$3\r\nAS");   // half a message behind them
+            caller.socket.shutdownOutput();
+            assertEquals("closing", caller.reply().word(), "its end was read");
+            for (String each : refs) {
+                site.finish(each, "good", 1, "of " + each);
+            }
+            assertEquals(List.of(new Reply("1", "done", "", "of " + ref(1)), new Reply("2", "done", "", "of " + ref(2))),
+                    answersToItsEnd(caller));
+            assertEquals(0, site.life.counters().get(Count.GONE));
+            assertNull(site.commands.poll(), "nothing was stopped");
+        }
+    }
+
     // ---- Slow peers ----
 
     /** A request of class read as it is written. */
--- a/src/test/java/wharftrestle/net/ServerTest.java
+++ b/src/test/java/wharftrestle/net/ServerTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import wharftrestle.net.Connection.Merit;
@@ -62,8 +63,9 @@
         }
 
         @Override
-        public void sayClosing(Connection connection) {
+        public boolean sayClosing(Connection connection) {
             connection.send(Bytes.ascii(BYE));
+            return true;
         }
     }
 
@@ -77,11 +79,11 @@
             }
 
             @Override
-            public void sayClosing(Connection connection) {
+            public boolean sayClosing(Connection connection) {
                 if (connection.merit() != Merit.SILENT) {
                     awaitGate();
                 }
-                bytewise.sayClosing(connection);
+                return bytewise.sayClosing(connection);
             }
         };
     }
@@ -216,6 +218,46 @@
         }
     }
 
+    @Test
+    void aPeerThatHasEndedItsSideHasItsAnswersThenTheEnd() throws Exception {
+        try (Server server = server(8); Socket peer = peer(server)) {
+            server.start();
+            write(peer, "ww");
+            awaitOwed(server, 2);
+            peer.shutdownOutput();
+            assertEquals(BYE, read(peer, 3), "its end was read");
+            gate.countDown();
+            String rest = rest(peer);
+            assertEquals("WW", rest.replace(BYE, ""), "whatever is said to see whether it is there");
+            awaitNone(server);
+        }
+    }
+
+    @Test
+    void aPeerThatIsGoneIsKnownToBeSoByTheWordToGo() throws Exception {
+        CountDownLatch gone = new CountDownLatch(1);
+        Bytewise bytewise = new Bytewise();
+        Server.Front front = new Server.Front() {
+            @Override
+            public void serve(Connection connection) throws IOException {
+                connection.whenGone(gone::countDown);
+                bytewise.serve(connection);
+            }
+
+            @Override
+            public boolean sayClosing(Connection connection) {
+                return bytewise.sayClosing(connection);
+            }
+        };
+        try (Server server = server(8, front); Socket peer = peer(server)) {
+            server.start();
+            write(peer, "w");
+            awaitOwed(server, 1);
+            peer.close();
+            assertTrue(gone.await(WAIT_MS, TimeUnit.MILLISECONDS), "long before its answer, which never comes");
+        }
+    }
+
     @Test
     void aPeerThatNeverEndsItsSideIsClosedInTheEnd() throws Exception {
         try (Server server = server(8); Socket peer = peer(server)) {
