Log a worker pool that ends each link at once a line a second, not twenty

Seen in the log of a daemon that could not load a class, as its classes were rebuilt under it: a line for each try of the link, every 50 ms, for 30 s. The same comes of a worker pool that takes links and ends them. At fault: PoolLink.keepLinked forgot at each connect that it had told of the outage; Reporter.report at each datagram sent. LogLimiter is what Server.tell had; a property holds it to one line a second.

--- a/src/main/java/wharftrestle/net/PoolLink.java
+++ b/src/main/java/wharftrestle/net/PoolLink.java
@@ -164,7 +164,8 @@
     }
 
     private void keepLinked() {
-        boolean told = false;
+        LogLimiter lines = new LogLimiter(System.nanoTime());
+        boolean told = false;   // of this outage
         for (;;) {
             long began = System.nanoTime();
             try (Socket made = new Socket()) {
@@ -195,7 +196,7 @@
                 }
             } catch (IOException | RuntimeException | Error e) {
                 // Guards against anything that arrives, or memory for a moment short, ending the link for good.
-                if (!told) {
+                if (!told && lines.may(System.nanoTime())) {
                     Logger.warn("worker pool link: {}", e.toString());
                     told = true;
                 }
--- a/src/main/java/wharftrestle/net/Reporter.java
+++ b/src/main/java/wharftrestle/net/Reporter.java
@@ -65,6 +65,7 @@
     }
 
     private void report() {
+        LogLimiter lines = new LogLimiter(System.nanoTime());
         boolean told = false;
         for (;;) {
             try (DatagramSocket socket = new DatagramSocket()) {
@@ -75,7 +76,7 @@
                     told = false;
                 }
             } catch (IOException | RuntimeException e) {
-                if (!told) {
+                if (!told && lines.may(System.nanoTime())) {
                     Logger.warn("name service: {}", e.getMessage());
                     told = true;
                 }
--- a/src/main/java/wharftrestle/net/Server.java
+++ b/src/main/java/wharftrestle/net/Server.java
@@ -20,7 +20,6 @@
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import org.tinylog.Logger;
 import wharftrestle.core.Threads;
@@ -87,7 +86,7 @@
     private final Set<Connection> open = ConcurrentHashMap.newKeySet();
     /** Newcomers for which there was no room, the first first. */
     private final ConcurrentLinkedDeque<Connection> turnedAway = new ConcurrentLinkedDeque<>();
-    private final AtomicLong toldAt = new AtomicLong(System.nanoTime() - 2_000_000_000L);
+    private final LogLimiter lines = new LogLimiter(System.nanoTime());
     /** A thread each while it lasts; kept some seconds for the next, as a new one costs more than an answer. */
     private final ThreadPoolExecutor threads;
     /** Threads that tell peers to go; none while there is nobody to tell. */
@@ -420,11 +419,8 @@
         }
     }
 
-    /** Guards against a log that grows as fast as nonsense comes in: one line a second. */
     private void tell(String what) {
-        long now = System.nanoTime();
-        long last = toldAt.get();
-        if (now - last > 1_000_000_000L && toldAt.compareAndSet(last, now)) {
+        if (lines.may(System.nanoTime())) {
             Logger.warn("{}: {}", name, what);
         }
     }
