Let no key of the story of kills be over before its moment is looked at

Cause: it had taken 3,369 copies, and opened them one after the other for over 20 s; the log says '1 records over' at the one that failed: its key's window of 12 s and the linger had gone by, so it was rightly forgotten. Ruled out: a copy that mixes two states (what ran is noted before it, the list is copied first, files only grow). The story's site has a window of 600 s now; what it asserts of each moment stays. LinkFlapTest waits 30 s at most.

--- a/src/test/java/wharftrestle/ResultsTest.java
+++ b/src/test/java/wharftrestle/ResultsTest.java
@@ -128,7 +128,11 @@
     }
 
     private Loopback upgrade(Loopback old, Path at) throws Exception {
-        Loopback next = new Loopback(Sites.site(), keeping(at), 1024, folder.resolve("n1.sock"), old);
+        return upgrade(Sites.site(), old, at);
+    }
+
+    private Loopback upgrade(Sites.Builder site, Loopback old, Path at) throws Exception {
+        Loopback next = new Loopback(site, keeping(at), 1024, folder.resolve("n1.sock"), old);
         if (old != null) {
             next.awaitTaking();
         }
@@ -143,7 +147,9 @@
         Path log = folder.resolve("log");
         List<Moment> moments = new ArrayList<>();
         AtomicBoolean over = new AtomicBoolean();
-        try (Loopback old = upgrade(null, log)) {
+        Sites.Builder wide = Sites.site();
+        wide.window = 600;   // no key is over before its moment is looked at, however many there are
+        try (Loopback old = upgrade(wide, null, log)) {
             old.autoMs = 3;
             List<Loopback> sites = new CopyOnWriteArrayList<>(List.of(old));
             Thread desk = new Thread(() -> keepAsking(old, "old", over));
@@ -163,7 +169,7 @@
             while (old.runs.size() < 20) {
                 Thread.onSpinWait();
             }
-            try (Loopback next = new Loopback(Sites.site(), keeping(log), 1024, folder.resolve("n1.sock"), old)) {
+            try (Loopback next = new Loopback(wide, keeping(log), 1024, folder.resolve("n1.sock"), old)) {
                 next.autoMs = 3;
                 sites.add(next);
                 next.awaitTaking();
@@ -181,7 +187,7 @@
         assertTrue(moments.size() > 5, moments.size() + " moments");
         for (Moment moment : moments) {
             try (Journal journal = new Journal(keeping(moment.left()).durable())) {
-                Records.Recovered recovered = journal.open(12);
+                Records.Recovered recovered = journal.open(wide.window);
                 Set<String> known = new HashSet<>();
                 recovered.keys().forEach(key -> known.add(key.key().replaceFirst("2/0/", "")));
                 assertTrue(known.containsAll(moment.ran()), "ran and not on disk in " + moment.left());
--- a/src/test/java/wharftrestle/prove/LinkFlapTest.java
+++ b/src/test/java/wharftrestle/prove/LinkFlapTest.java
@@ -19,6 +19,8 @@
     private static final Pattern LINKS = Pattern.compile("(\\d+)\\s+worker pool links made");
     private static final int TRIES = 60;   // of 50 ms each, at the least
 
+    private static final long MOST_NANOS = 30_000_000_000L;
+
     @TempDir
     private Path folder;
 
@@ -37,9 +39,10 @@
             long began = System.nanoTime();
             floor.link("pool").refuse();
             floor.link("pool").cut();
-            while (links(daemon) < before + TRIES) {
+            while (links(daemon) < before + TRIES && System.nanoTime() - began < MOST_NANOS) {
                 Thread.onSpinWait();
             }
+            assertTrue(links(daemon) >= before + TRIES, "it tries again");
             double seconds = (System.nanoTime() - began) / 1e9;
             long lines = daemon.log().lines().filter(line -> line.contains("worker pool link")).count();
             assertTrue(lines >= 1 && lines <= 2 + seconds, lines + " lines in " + seconds + " s");
