Give each try of a story its own reference

Cause: the story asked four times under one reference; a reference in use is no run of its own and fails (Core.arrive), and it is in use until the request's thread has ended, an instant after its answer. The protocol has a new one for every try, and so has the story now.

--- a/src/test/java/wharftrestle/ResultsTest.java
+++ b/src/test/java/wharftrestle/ResultsTest.java
@@ -233,9 +233,11 @@
                 old.finish(claimed.ref(), "good", 1, "claimed too");
                 assertEquals("claimed too", before.reply().body());
                 try (Loopback third = new Loopback(Sites.site(), keeping(killed)); Caller last = third.new Caller()) {
+                    int tries = 0;
                     for (String[] each : new String[][] {{"over", "a", "done"}, {"runs", "b", "done"},
                         {"claimed", "c", "error"}, {"new", "d", "error"}}) {
-                        ask(last, 1, 31, each[0], each[1]);
+                        // A reference of its own, as each try has: the last one's is in use until its thread has ended.
+                        ask(last, ++tries, 30 + tries, each[0], each[1]);
                         assertEquals(each[2], last.reply().word(), each[0]);
                     }
                     assertNull(third.commands.poll(), "nothing ran again");
