Have the story of a new process that dies wait until the old one was told of an end

Cause: the answer goes to the caller and the word of it to the other process side by side, and the story killed the new process in between: the old one rightly failed a key whose end it does not know (nothing ran again). The story now has one more run spawned first: a run waits until what was told before it is on its way, so the crossing is decided and not hoped for.

--- a/src/test/java/wharftrestle/UpgradeTest.java
+++ b/src/test/java/wharftrestle/UpgradeTest.java
@@ -186,6 +186,9 @@
                 after.ask(2, 12, System.currentTimeMillis(), "keyed", "ended", "y");
                 next.finish(next.command().ref(), "good", 1, "fine");
                 assertEquals("fine", after.reply().body());
+                // A run is spawned once the old process can know of it, and of all told before: so also of that end.
+                after.ask(3, 13, System.currentTimeMillis(), "keyed", "last", "w");
+                assertEquals(new Command("spawn", ref(13), "keyed", "w"), next.command());
             }
             old.awaitTaking();
             try (Caller again = old.new Caller()) {
