Keep the port of a story's worker pool without a gap in which another one may have it

Cause: the daemon of a story that is over looks for its worker pool for ever; Loopback closed the pool's port and then took it again, and in between another story's listener, here the front end's, could have it and was sent a 'bind'. No change to the daemon.

--- a/src/main/java/wharftrestle/lab/PoolPeer.java
+++ b/src/main/java/wharftrestle/lab/PoolPeer.java
@@ -65,6 +65,7 @@
     private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     private final List<Link> links = new CopyOnWriteArrayList<>();
     private final Script script;
+    private volatile boolean retired;
 
     public PoolPeer(Script script) throws IOException {
         this.script = script;
@@ -90,6 +91,10 @@
         try {
             for (;;) {
                 Socket socket = server.accept();
+                if (retired) {
+                    socket.close();
+                    return;   // whoever comes from now on waits at the address
+                }
                 Link link = new Link(socket);
                 links.add(link);
                 thread("stand-in link", () -> serve(link));
@@ -126,11 +131,20 @@
         }
     }
 
-    @Override
-    public void close() throws IOException {
-        server.close();
+    /**
+     * Ends its links and takes no more, and keeps its address. Guards against somebody else having that address while a
+     * daemon that has not ended looks for its worker pool there for ever.
+     */
+    public void retire() throws IOException {
+        retired = true;
         for (Link link : links) {
             link.cut();
         }
     }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        retire();
+    }
 }
--- a/src/test/java/wharftrestle/Loopback.java
+++ b/src/test/java/wharftrestle/Loopback.java
@@ -62,8 +62,8 @@
     volatile boolean drips;
     /** Where set, the worker pool reads the present link and says nothing on it; a new one is served. */
     volatile boolean mute;
-    /** At the ports of worker pools of stories that are over, so that they are nobody else's; nobody listens there. */
-    private static final List<Socket> KEPT = new CopyOnWriteArrayList<>();
+    /** Worker pools of stories that are over, with their ports, so that these are nobody else's. */
+    private static final List<PoolPeer> KEPT = new CopyOnWriteArrayList<>();
     private volatile PoolPeer.Link link;
     private volatile long poolUpAt = System.nanoTime();
     private volatile boolean anew;
@@ -462,16 +462,8 @@
         cores.shutdownNow();
         // Guards against another story having this port: the daemon of this one looks for its worker pool for ever, and
         // would be taken for that story's own.
-        InetSocketAddress port = pool.address();
-        pool.close();
-        Socket taken = new Socket();
-        taken.setReuseAddress(true);
-        try {
-            taken.bind(port);
-            KEPT.add(taken);
-        } catch (IOException notFree) {
-            taken.close();   // what is left of its connections has it for now
-        }
+        pool.retire();
+        KEPT.add(pool);
         store.close();
         naming.close();
     }
