Say once what requests are made of, how a stand-in drips, and what a story's front adds

Behaviour is the same; every assertion stays. FloorsTest takes the fleet's own shares; ReachPlay loses a factor that was always 1; Loopback cuts a text into pieces in one place, and loses a reader that read one byte; two stories of ServerTest extend Bytewise in place of passing on each call.

--- a/src/main/java/wharftrestle/lab/virtual/ReachPlay.java
+++ b/src/main/java/wharftrestle/lab/virtual/ReachPlay.java
@@ -43,11 +43,10 @@
     /**
      * Who calls.
      *
-     * @param many  processes of theirs
-     * @param deaf  part of requests of callers that follow no ramp
-     * @param burst times the requests of a warm box at its usual load that come to each box
+     * @param many processes of theirs
+     * @param deaf part of requests of callers that follow no ramp
      */
-    public record Callers(int many, Ramp ramp, double deaf, double burst) { }
+    public record Callers(int many, Ramp ramp, double deaf) { }
 
     private static final double RATE = 12;
     private static final double LOAD = 0.85;
@@ -152,7 +151,7 @@
 
     private static void arrive(VirtualBox box, Sent sent, Agenda agenda, Admission.Settings settings,
             SplittableRandom random, double unit) {
-        agenda.at(agenda.now() - Math.log(1 - random.nextDouble()) / (RATE * sent.callers.burst()), now -> {
+        agenda.at(agenda.now() - Math.log(1 - random.nextDouble()) / RATE, now -> {
             if (sent.sends(now, settings, random)) {
                 box.ask(random.nextInt(settings.classes().size()), unit * (0.4 + 1.2 * random.nextDouble()), 0,
                         (then, outcome, again) -> { });
--- a/src/main/java/wharftrestle/lab/virtual/VirtualFleet.java
+++ b/src/main/java/wharftrestle/lab/virtual/VirtualFleet.java
@@ -28,7 +28,8 @@
     }
 
     private static final int CORES = 4;
-    private static final double[] SHARES = {0.35, 0.3, 0.2, 0.15};
+    /** Of the requests, by class. */
+    static final double[] SHARES = {0.35, 0.3, 0.2, 0.15};
     private static final int MOST_TRIES = 3;
     private static final double CALLING_PART = 0.5;
     /** Calls in the store's hands that a box may have, where the store is not what is played. */
--- a/src/test/java/wharftrestle/EndingsTest.java
+++ b/src/test/java/wharftrestle/EndingsTest.java
@@ -429,7 +429,7 @@
             site.finish(ref(1), "good", 5, "fine");
             StringBuilder read = new StringBuilder();
             for (int i = 0; i < answer.length(); i++) {
-                read.append(slow.read(1));
+                read.append((char) slow.socket.getInputStream().read());
                 check(other);
             }
             assertEquals(answer, read.toString());
--- a/src/test/java/wharftrestle/Loopback.java
+++ b/src/test/java/wharftrestle/Loopback.java
@@ -266,17 +266,19 @@
         notice("blocked %d " + ref + " " + call.length() + "\r\n" + call + "\r\n");
     }
 
+    private String[] pieces(String text) {
+        return drips ? text.split("") : new String[] {text};
+    }
+
     /** Numbers a notice and sends it; without a link it waits for the next bind. */
     private void notice(String text) throws IOException {
         synchronized (notices) {
             String numbered = text.replaceFirst("%d", Integer.toString(notices.size() + 1));
             notices.add(numbered);
-            if (link.open() && drips) {
-                for (char each : numbered.toCharArray()) {
-                    link.say(String.valueOf(each));
+            if (link.open()) {
+                for (String piece : pieces(numbered)) {
+                    link.say(piece);
                 }
-            } else if (link.open()) {
-                link.say(numbered);
             }
         }
     }
@@ -328,7 +330,7 @@
                         socket.close();
                         return;
                     }
-                    for (String piece : drips ? reply.split("") : new String[] {reply}) {
+                    for (String piece : pieces(reply)) {
                         write(socket, piece);
                     }
                 }
@@ -411,15 +413,6 @@
             socket.getOutputStream().write(Bytes.ascii(bytes));
         }
 
-        /** Reads so many bytes, each on its own. */
-        String read(int bytes) throws IOException {
-            StringBuilder all = new StringBuilder();
-            while (all.length() < bytes) {
-                all.append((char) socket.getInputStream().read());
-            }
-            return all.toString();
-        }
-
         void ask(int tag, long ref, long door, String type, String key, String body) throws IOException {
             ask(Integer.toString(tag), ref, door, type, KB, key, body);
         }
--- a/src/test/java/wharftrestle/lab/virtual/FloorsTest.java
+++ b/src/test/java/wharftrestle/lab/virtual/FloorsTest.java
@@ -20,7 +20,7 @@
     private static final double A_THIRD = 0.2;
     private static final double A_CLASS = 0.5;
     private static final double LEAST = 0.3;
-    private static final double[] SHARES = {0.35, 0.3, 0.2, 0.15};   // of the requests, as the fleet's callers have them
+    private static final double[] SHARES = VirtualFleet.SHARES;
 
     /** What goes wrong in the second third. */
     private interface Trouble {
--- a/src/test/java/wharftrestle/net/ServerTest.java
+++ b/src/test/java/wharftrestle/net/ServerTest.java
@@ -31,7 +31,7 @@
     private final CountDownLatch gate = new CountDownLatch(1);
 
     /** Reads bytes, each of them a request: 'x' is malformed, 'w' waits at the gate and is answered, any other at once. */
-    private final class Bytewise implements Server.Front {
+    private class Bytewise implements Server.Front {
         @Override
         public void serve(Connection connection) throws IOException {
             served.add(connection);
@@ -71,19 +71,13 @@
 
     /** Whose word to go takes as long as the gate is shut, as a write to a peer that reads nothing; not to silent peers. */
     private Server.Front deaf() {
-        Bytewise bytewise = new Bytewise();
-        return new Server.Front() {
-            @Override
-            public void serve(Connection connection) throws IOException {
-                bytewise.serve(connection);
-            }
-
+        return new Bytewise() {
             @Override
             public boolean sayClosing(Connection connection) {
                 if (connection.merit() != Merit.SILENT) {
                     awaitGate();
                 }
-                return bytewise.sayClosing(connection);
+                return super.sayClosing(connection);
             }
         };
     }
@@ -236,17 +230,11 @@
     @Test
     void aPeerThatIsGoneIsKnownToBeSoByTheWordToGo() throws Exception {
         CountDownLatch gone = new CountDownLatch(1);
-        Bytewise bytewise = new Bytewise();
-        Server.Front front = new Server.Front() {
+        Server.Front front = new Bytewise() {
             @Override
             public void serve(Connection connection) throws IOException {
                 connection.whenGone(gone::countDown);
-                bytewise.serve(connection);
-            }
-
-            @Override
-            public boolean sayClosing(Connection connection) {
-                return bytewise.sayClosing(connection);
+                super.serve(connection);
             }
         };
         try (Server server = server(8, front); Socket peer = peer(server)) {
--- a/src/test/java/wharftrestle/prove/ProveCold.java
+++ b/src/test/java/wharftrestle/prove/ProveCold.java
@@ -32,7 +32,7 @@
     /** The worst of so many seeds, with as many callers as boxes. */
     private static ReachPlay.Result reach(int many, Ramp ramp, double deaf, Start start, int seeds, long seed) {
         return IntStream.range(0, seeds).parallel()
-                .mapToObj(i -> ReachPlay.play(many, new Callers(many, ramp, deaf, 1), start, seed + i))
+                .mapToObj(i -> ReachPlay.play(many, new Callers(many, ramp, deaf), start, seed + i))
                 .reduce(new ReachPlay.Result(0, 0), (a, b) -> new ReachPlay.Result(Math.max(a.reached(), b.reached()),
                         Math.max(a.crowd(), b.crowd())));
     }
