Give each store call a connection of its own, so no late copy answers another call

Cause: StoreClient kept a connection for the next call. HTTP/1.1 matches responses to requests by their order alone, so a second copy that arrives once the next call was sent is read as its response. The checks for waiting bytes, behind the response and before the next call, cannot see what is still to come. Ruled out: a mix-up within the daemon (TROUBLE=0 gives no wrong response; the number of a call is compared under the lock) and the link to the worker pool (one caller and an unbroken link show it too).

Change: one connection a call, closed behind its response. The pool of idle connections and its checks are gone; reading a response is a file of its own. No delay of a copy lets it reach another call.

--- a/src/main/java/wharftrestle/request/DependencyCalls.java
+++ b/src/main/java/wharftrestle/request/DependencyCalls.java
@@ -1,9 +1,7 @@
 package wharftrestle.request;
 
 import java.util.concurrent.locks.ReentrantLock;
-import wharftrestle.admission.Admission;
 import wharftrestle.admission.Admission.Outcome;
-import wharftrestle.admission.AdmissionSettings;
 import wharftrestle.metrics.Counters;
 import wharftrestle.metrics.Counters.Count;
 
@@ -16,20 +14,14 @@
   private static final double MILLIS_PER_SECOND = 1000;
 
   private final ReentrantLock lock;
-  private final AdmissionSettings settings;
   private final Counters counters;
   private final EventClock clock;
   private final AdmissionDriver admission;
   private DependencyClient client;
 
   DependencyCalls(
-      ReentrantLock lock,
-      AdmissionSettings settings,
-      Counters counters,
-      EventClock clock,
-      AdmissionDriver admission) {
+      ReentrantLock lock, Counters counters, EventClock clock, AdmissionDriver admission) {
     this.lock = lock;
-    this.settings = settings;
     this.counters = counters;
     this.clock = clock;
     this.admission = admission;
@@ -57,13 +49,11 @@
     } finally {
       lock.unlock();
     }
-    Admission.RequestClass requestClass = settings.classes().get(request.incoming.classIndex());
     DependencyCall call =
         client.call(
             request.incoming.reference(),
             body,
             timeoutMillis,
-            requestClass.idempotency() == Admission.Idempotency.IDEMPOTENT,
             (outcome, response) -> onCallCompleted(request, number, outcome, response));
     lock.lock();
     try {
--- a/src/main/java/wharftrestle/request/DependencyClient.java
+++ b/src/main/java/wharftrestle/request/DependencyClient.java
@@ -4,13 +4,8 @@
 public interface DependencyClient {
   /**
    * Sends a call on another thread and returns at once; the listener is notified once unless the
-   * call is cancelled. A call that is not idempotent is never sent on a connection that the store
-   * may have closed meanwhile.
+   * call is cancelled. Only what the store sent in response to this very call is passed on.
    */
   DependencyCall call(
-      String reference,
-      byte[] body,
-      long timeoutMillis,
-      boolean isIdempotent,
-      DependencyCallListener listener);
+      String reference, byte[] body, long timeoutMillis, DependencyCallListener listener);
 }
--- a/src/main/java/wharftrestle/request/RequestParts.java
+++ b/src/main/java/wharftrestle/request/RequestParts.java
@@ -46,7 +46,7 @@
     recorder = new ResultRecorder(this, claims.ownership(), keyMemory);
     executions =
         new Executions(counters, clock, inFlight, admission, callers, keyedRequests, recorder);
-    dependencyCalls = new DependencyCalls(lock, settings, counters, clock, admission);
+    dependencyCalls = new DependencyCalls(lock, counters, clock, admission);
     keyedRequests.connect(claims.ownership(), recorder);
     claims.connect(recorder);
     peer.connect(recorder);
--- a/src/test/java/wharftrestle/Loopback.java
+++ b/src/test/java/wharftrestle/Loopback.java
@@ -52,6 +52,10 @@
   final BlockingQueue<Command> commands = new LinkedBlockingQueue<>();
   final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
   final BlockingQueue<String> storeReplies = new LinkedBlockingQueue<>();
+
+  /** The connections that the store has accepted, in order; they may be closed. */
+  final List<Socket> storeConnections = new CopyOnWriteArrayList<>();
+
   final List<String> notices = new ArrayList<>();
   final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
   final ScheduledExecutorService cores = Executors.newScheduledThreadPool(2);
@@ -286,8 +290,7 @@
       } else if (words[0].equals("spawn") && autoMs >= 0) {
         executeOnCore(words[1], body);
       } else {
-        commands.add(
-            new Command(words[0], words[1], words[0].equals("spawn") ? words[2] : "", body));
+        commands.add(new Command(words[0], words[1], words[0].equals("spawn") ? words[2] : "", body));
       }
     }
   }
@@ -411,6 +414,7 @@
     for (; ; ) {
       Socket socket = store.accept();
       socket.setTcpNoDelay(true);
+      storeConnections.add(socket);
       startThread(
           () -> {
             InputStream in = new BufferedInputStream(socket.getInputStream());
