--- a/src/main/java/wharftrestle/upstream/WorkerPoolClient.java
+++ b/src/main/java/wharftrestle/upstream/WorkerPoolClient.java
@@ -26,10 +26,12 @@
  * lock never waits for a socket. Thread-safe.
  */
 public final class WorkerPoolClient implements WorkerPool {
-  private static final int MAX_LINE_BYTES = 16 * 1024;
-  private static final int MAX_BODY_BYTES = 64 * 1024;
   private static final int RECONNECT_DELAY_MS = 50;
   private static final int CONNECT_TIMEOUT_MS = 2000;
+  private static final int READ_BUFFER_BYTES = 8192;
+
+  /** A link that lasted less than this is not made again at once. */
+  private static final long MIN_LINK_NANOS = 200_000_000L;
 
   /** Milliseconds without a message from the polled worker pool after which the link is closed. */
   private static final int SILENCE_TIMEOUT_MS = 2000;
@@ -52,8 +54,10 @@
   private long lastAnnouncement;
   private long lastAnnouncementNanos; // when it was read
   private boolean hasBoundBefore;
+  private boolean isOutageLogged; // one line for each outage
   private long bindCount;
 
+  /** Creates a client that is not started. */
   public WorkerPoolClient(
       InetSocketAddress address, RequestCoordinator coordinator, Counters counters) {
     this.address = address;
@@ -61,6 +65,7 @@
     this.counters = counters;
   }
 
+  /** Starts the thread that establishes the link and reads announcements. */
   public void start() {
     PlatformThreads.restartingThread("pool-link", this::runLink).start();
   }
@@ -84,38 +89,10 @@
 
   private void runLink() {
     LogRateLimiter logLimiter = new LogRateLimiter(System.nanoTime());
-    boolean isOutageLogged = false; // one line for each outage
     for (; ; ) {
       long startedNanos = System.nanoTime();
-      try (Socket newSocket = new Socket()) {
-        InetSocketAddress target;
-        synchronized (unacknowledged) {
-          socket = newSocket;
-          target = address;
-        }
-        newSocket.setTcpNoDelay(true);
-        newSocket.connect(target, CONNECT_TIMEOUT_MS);
-        isOutageLogged = false;
-        counters.add(Count.WORKER_POOL_CONNECTS);
-        newSocket.setSoTimeout(
-            hasBoundBefore
-                ? SILENCE_TIMEOUT_MS
-                : 0); // the first bind waits until the worker pool starts
-        WorkerPoolLink current = new WorkerPoolLink(newSocket);
-        current.enqueueLine("bind " + lastAnnouncement);
-        synchronized (unacknowledged) {
-          link = current;
-        }
-        try {
-          PlatformThreads.thread("pool-write", current::writePolls).start();
-          current.flush();
-          readAnnouncements(current, new BufferedInputStream(newSocket.getInputStream(), 8192));
-        } finally {
-          synchronized (unacknowledged) {
-            link = null;
-          }
-          current.close();
-        }
+      try {
+        runOneLink();
       } catch (IOException | RuntimeException | Error e) {
         // Neither malformed input nor a temporary shortage of memory may end the link for good.
         if (!isOutageLogged && logLimiter.tryAcquire(System.nanoTime())) {
@@ -127,7 +104,7 @@
         }
       }
       try {
-        if (System.nanoTime() - startedNanos < RECONNECT_DELAY_MS * 4_000_000L) {
+        if (System.nanoTime() - startedNanos < MIN_LINK_NANOS) {
           Thread.sleep(RECONNECT_DELAY_MS);
         }
       } catch (InterruptedException e) {
@@ -136,83 +113,140 @@
     }
   }
 
-  private void readAnnouncements(WorkerPoolLink current, InputStream in) throws IOException {
-    String barrierTag = "b" + ++bindCount;
-    for (; ; ) {
-      String[] fields = BoundedReader.line(in, MAX_LINE_BYTES).split(" ");
-      switch (fields[0]) {
-        case "bound" -> {
-          requireFields(fields, 3);
-          double secondsAgo = BoundedReader.parseMillisAsSeconds(fields[2]);
-          if (lastAnnouncement > 0
-              && secondsAgo + RESTART_MARGIN_SECONDS
-                  < (System.nanoTime() - lastAnnouncementNanos) / 1e9) {
-            // The worker pool has restarted: it does not know the executions, and numbers its
-            // announcements from 1 again, which would be ignored as old.
-            lastAnnouncement = 0;
-            synchronized (unacknowledged) {
-              unacknowledged.clear();
-            }
-            coordinator.workerPoolRestarted();
-            throw new IOException("the worker pool has restarted since its last announcement");
-          }
-          current.socket().setSoTimeout(SILENCE_TIMEOUT_MS);
-          current.markBound();
-          coordinator.workerPoolStarted(fields[1].equals("new"), secondsAgo);
-          if (hasBoundBefore) {
-            current.enqueueLine("poll " + barrierTag);
-            current.flush();
-          }
-          hasBoundBefore = true;
-        }
-        case "finished" -> {
-          requireFields(fields, 5);
-          byte[] result = fields.length > 5 ? readBody(fields[5], in) : new byte[0];
-          if (acceptAnnouncement(fields[1])) {
-            acknowledge(fields[2]);
-            coordinator.executionCompleted(
-                fields[2],
-                parseOutcome(fields[3]),
-                BoundedReader.parseMillisAsSeconds(fields[4]),
-                result);
-          }
-        }
-        case "blocked" -> {
-          requireFields(fields, 4);
-          byte[] call = readBody(fields[3], in);
-          if (acceptAnnouncement(fields[1])) {
-            acknowledge(fields[2]);
-            coordinator.executionBlocked(fields[2], lastAnnouncement, call);
-          }
-        }
-        case "polled" -> {
-          requireFields(fields, 2);
-          Long pollTime = current.takePollTime(fields[1]);
-          if (pollTime != null) {
-            acknowledgeSentBefore(current, pollTime);
-            coordinator.gaugesReceived(parseGauges(fields));
-          } else if (fields[1].equals(barrierTag)) {
-            recoverUnacknowledged(current);
-          }
-        }
-        case "unknown" -> {
-          requireFields(fields, 3);
-          Logger.debug("unknown to the worker pool: command={} request={}", fields[1], fields[2]);
-          counters.add(Count.UNKNOWN_COMMANDS);
-          acknowledge(fields[2]);
-          // No command reaches this execution: it never began, or its end was lost.
-          coordinator.executionCompleted(
-              fields[2], fields[1].equals("spawn") ? Outcome.VOID : Outcome.FAILURE, 0, null);
+  /** Connects, binds and reads announcements until the link ends, which it reports by throwing. */
+  private void runOneLink() throws IOException {
+    try (Socket newSocket = new Socket()) {
+      InetSocketAddress target;
+      synchronized (unacknowledged) {
+        socket = newSocket;
+        target = address;
+      }
+      newSocket.setTcpNoDelay(true);
+      newSocket.connect(target, CONNECT_TIMEOUT_MS);
+      isOutageLogged = false;
+      counters.add(Count.WORKER_POOL_CONNECTS);
+      // The first bind waits until the worker pool starts.
+      newSocket.setSoTimeout(hasBoundBefore ? SILENCE_TIMEOUT_MS : 0);
+      WorkerPoolLink current = new WorkerPoolLink(newSocket);
+      current.enqueueLine("bind " + lastAnnouncement);
+      synchronized (unacknowledged) {
+        link = current;
+      }
+      try {
+        PlatformThreads.thread("pool-write", current::writePolls).start();
+        current.flush();
+        readAnnouncements(current);
+      } finally {
+        synchronized (unacknowledged) {
+          link = null;
         }
-        case "chatter" -> {
-          requireFields(fields, 2);
-          acceptAnnouncement(fields[1]);
+        current.close();
+      }
+    }
+  }
+
+  private void readAnnouncements(WorkerPoolLink current) throws IOException {
+    InputStream in = new BufferedInputStream(current.socket().getInputStream(), READ_BUFFER_BYTES);
+    AnnouncementReader reader =
+        new AnnouncementReader(in, new Announcements(current, "b" + ++bindCount));
+    for (; ; ) {
+      reader.readNext();
+    }
+  }
+
+  /** Handles the messages on one link, on the thread that reads it. */
+  private final class Announcements implements AnnouncementReader.Handler {
+    private final WorkerPoolLink current;
+    private final String barrierTag;
+
+    /**
+     * @param barrierTag of the poll that is sent after the bind: all announcements that were missed
+     *     come before its answer
+     */
+    Announcements(WorkerPoolLink current, String barrierTag) {
+      this.current = current;
+      this.barrierTag = barrierTag;
+    }
+
+    @Override
+    public void onBound(boolean isCold, double secondsAgo) throws IOException {
+      if (hasRestarted(secondsAgo)) {
+        // It does not know the executions, and numbers its announcements from 1 again, which would
+        // be ignored as old.
+        lastAnnouncement = 0;
+        synchronized (unacknowledged) {
+          unacknowledged.clear();
         }
-        default ->
-            throw new Server.MalformedException(
-                "unknown message of the worker pool: '" + fields[0] + "'");
+        coordinator.workerPoolRestarted();
+        throw new IOException("the worker pool has restarted since its last announcement");
+      }
+      current.socket().setSoTimeout(SILENCE_TIMEOUT_MS);
+      current.markBound();
+      coordinator.workerPoolStarted(isCold, secondsAgo);
+      if (hasBoundBefore) {
+        current.enqueueLine("poll " + barrierTag);
+        current.flush();
+      }
+      hasBoundBefore = true;
+    }
+
+    private boolean hasRestarted(double secondsAgo) {
+      double sinceAnnouncement = (System.nanoTime() - lastAnnouncementNanos) / 1e9;
+      return lastAnnouncement > 0 && secondsAgo + RESTART_MARGIN_SECONDS < sinceAnnouncement;
+    }
+
+    @Override
+    public void onFinished(
+        long number, String reference, Outcome outcome, double elapsedSeconds, byte[] result) {
+      if (accept(number)) {
+        acknowledge(reference);
+        coordinator.executionCompleted(reference, outcome, elapsedSeconds, result);
+      }
+    }
+
+    @Override
+    public void onBlocked(long number, String reference, byte[] callBody) {
+      if (accept(number)) {
+        acknowledge(reference);
+        coordinator.executionBlocked(reference, number, callBody);
+      }
+    }
+
+    @Override
+    public void onPolled(String tag, double[] gauges) {
+      Long pollTime = current.takePollTime(tag);
+      if (pollTime != null) {
+        acknowledgeSentBefore(current, pollTime);
+        coordinator.gaugesReceived(gauges);
+      } else if (tag.equals(barrierTag)) {
+        recoverUnacknowledged(current);
       }
     }
+
+    @Override
+    public void onUnknownCommand(String command, String reference) {
+      Logger.debug("unknown to the worker pool: command={} request={}", command, reference);
+      counters.add(Count.UNKNOWN_COMMANDS);
+      acknowledge(reference);
+      // No command reaches this execution: it never began, or its end was lost.
+      Outcome outcome = command.equals("spawn") ? Outcome.VOID : Outcome.FAILURE;
+      coordinator.executionCompleted(reference, outcome, 0, null);
+    }
+
+    @Override
+    public void onRemark(long number) {
+      accept(number);
+    }
+
+    /** Returns false for announcements that are repeated after a bind; else records the number. */
+    private boolean accept(long number) {
+      if (number <= lastAnnouncement) {
+        return false;
+      }
+      lastAnnouncement = number;
+      lastAnnouncementNanos = System.nanoTime();
+      return true;
+    }
   }
 
   private void acknowledge(String reference) {
@@ -249,49 +283,6 @@
     }
   }
 
-  /** Returns false for announcements that are repeated after a bind; else records the number. */
-  private boolean acceptAnnouncement(String field) throws IOException {
-    long number = BoundedReader.number(field, Long.MAX_VALUE);
-    if (number <= lastAnnouncement) {
-      return false;
-    }
-    lastAnnouncement = number;
-    lastAnnouncementNanos = System.nanoTime();
-    return true;
-  }
-
-  private static Outcome parseOutcome(String result) throws IOException {
-    return switch (result) {
-      case "good" -> Outcome.SUCCESS;
-      case "bad" -> Outcome.FAILURE;
-      case "cut" -> Outcome.WITHDRAWN;
-      case "gone" -> Outcome.VOID;
-      default ->
-          throw new Server.MalformedException("unknown result of an execution: '" + result + "'");
-    };
-  }
-
-  private static double[] parseGauges(String[] fields) throws IOException {
-    double[] values = new double[fields.length - 2];
-    for (int i = 0; i < values.length; i++) {
-      values[i] = BoundedReader.parseDecimal(fields[i + 2]);
-    }
-    return values;
-  }
-
-  private static void requireFields(String[] fields, int minFields) throws IOException {
-    if (fields.length < minFields) {
-      throw new Server.MalformedException(
-          "worker pool message has too few fields: " + String.join(" ", fields));
-    }
-  }
-
-  private static byte[] readBody(String length, InputStream in) throws IOException {
-    byte[] body = BoundedReader.exactly(in, (int) BoundedReader.number(length, MAX_BODY_BYTES));
-    BoundedReader.crlf(in);
-    return body;
-  }
-
   private void send(String reference, byte[] command, Repetition repetition) {
     WorkerPoolLink current;
     synchronized (unacknowledged) {
