--- a/src/test/java/wharftrestle/LinkBreakResponseTest.java
+++ b/src/test/java/wharftrestle/LinkBreakResponseTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import wharftrestle.Loopback.Caller;
 import wharftrestle.Loopback.Command;
+import wharftrestle.metrics.Counters.Count;
 import wharftrestle.testbed.RespPeer.Reply;
 
 /**
@@ -83,8 +84,7 @@
       assertEquals("error", caller.reply().word());
       double seconds = (System.nanoTime() - startedNanos) / 1e9;
       assertTrue(seconds >= 1 && seconds < 2, "answered after " + seconds + " s");
-      assertEquals(
-          1, site.life.counters().get(wharftrestle.metrics.Counters.Count.RESPONSES_UNCONFIRMED));
+      assertEquals(1, site.life.counters().get(Count.RESPONSES_UNCONFIRMED));
     }
   }
 
--- a/src/test/java/wharftrestle/upstream/UnacknowledgedCommandsTest.java
+++ b/src/test/java/wharftrestle/upstream/UnacknowledgedCommandsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -154,8 +155,7 @@
       if (written.isEmpty()) {
         return;
       }
-      String response =
-          new String(written.remove(0).bytes(), java.nio.charset.StandardCharsets.US_ASCII);
+      String response = new String(written.remove(0).bytes(), StandardCharsets.US_ASCII);
       if (callsAnnounced > callsAnswered) { // ignored unless the execution waits for a call
         wrongResponses += Integer.parseInt(response.trim()) == callsAnnounced ? 0 : 1;
         callsAnswered++;
