Read stored results in bounded transfers, so a restart leaves memory for sockets

Cause: the log was read with Files.readAllBytes, one transfer for each segment. The JDK copies a transfer through a direct buffer of its size, which the thread keeps. A segment has 4 MB at max_mb = 64, all direct memory that deploy/run.sh allows, and the main thread lives on. Evidence: the JVM reports 'allocated: 4194304, limit: 4194304', the size of one segment. With the buffers that a thread keeps limited to 256 kB the start itself fails, as 4 MB beside 8191 bytes do not fit (trial): so neither the number of threads nor the sockets is the cause.

Change: files are read and written in transfers of at most 8 kB (io.BoundedTransfers), whatever the segment's size. The log is scanned in windows of 262 kB, so the heap holds no whole segment either, nor does a compaction. The store has one segment open for reading and one for writing: reading all segments at the start would otherwise have kept a descriptor for each.

A property scans segments in windows of any size.

FleetTestbed's jars and those of the start script now come from one class, ThinJar.

--- a/src/main/java/wharftrestle/storage/Compaction.java
+++ b/src/main/java/wharftrestle/storage/Compaction.java
@@ -18,13 +18,16 @@
   /** Batch number of all records; each new segment is a complete batch of its own. */
   private static final int BATCH = 1;
 
+  private static final int BUFFER_BYTES = LogRecord.aligned(SegmentScan.MIN_WINDOW_BYTES);
+
   private final SegmentStore store;
   private final int segmentBytes;
   private final long bootId;
   private final long monotonicMillis = LogClock.monotonicMillis();
   private final long wallMillis = SteadyWallClock.wallMillis();
   private final List<Long> newSegments = new ArrayList<>();
-  private ByteBuffer segment; // records of the newest segment; null before the first
+  private final ByteBuffer buffer = ByteBuffer.allocate(BUFFER_BYTES); // unwritten records
+  private int writtenBytes; // of the newest segment, without the buffer
 
   private Compaction(SegmentStore store, int segmentBytes) {
     this.store = store;
@@ -75,10 +78,10 @@
     Map<String, LiveRecord> live = new LinkedHashMap<>();
     Recovery recovery = new Recovery(SteadyWallClock.steadyWallMillis(), monotonicMillis);
     for (long number : segments) {
-      ByteBuffer bytes = store.read(number);
-      boolean sameBoot = isSameBoot(bytes, bootId);
+      boolean sameBoot = isOfBoot(store, number, bootId);
       scan(
-          bytes,
+          store,
+          number,
           (record, offset) -> {
             live.remove(record.key());
             if (recovery.replay(record, offset, sameBoot)) {
@@ -90,18 +93,20 @@
     return new ArrayList<>(live.values());
   }
 
-  static boolean isSameBoot(ByteBuffer bytes, long bootId) throws IOException {
+  /** True if the records of a segment were written during the given boot. */
+  static boolean isOfBoot(SegmentStore store, long number, long bootId) throws IOException {
     try {
-      return Segment.isSameBoot(bytes, bootId);
+      Segment.Header header = store.readHeader(number);
+      return header != null && header.isOfBoot(bootId);
     } catch (Segment.ForeignFormatException e) {
       throw new IOException(e.getMessage(), e);
     }
   }
 
-  static Segment.ScanResult scan(ByteBuffer bytes, Segment.RecordVisitor visitor)
+  static Segment.ScanResult scan(SegmentStore store, long number, Segment.RecordVisitor visitor)
       throws IOException {
     try {
-      return Segment.scan(bytes, visitor);
+      return store.scan(number, visitor);
     } catch (Segment.ForeignFormatException e) {
       throw new IOException(e.getMessage(), e);
     }
@@ -123,11 +128,11 @@
   private void writeAll(List<LiveRecord> live, long lastOldSegment) throws IOException {
     long number = lastOldSegment;
     for (int i = 0; i < live.size(); i++) {
-      if (segment == null || segment.remaining() < live.get(i).size()) {
+      if (newSegments.isEmpty() || freeBytes() < live.get(i).size()) {
         finishSegment();
         beginSegment(++number);
       }
-      int remaining = segment.remaining() - live.get(i).size();
+      int remaining = freeBytes() - live.get(i).size();
       boolean lastOfBatch = i == live.size() - 1 || remaining < live.get(i + 1).size();
       copy(live.get(i), lastOfBatch);
     }
@@ -135,9 +140,14 @@
   }
 
   private void beginSegment(long number) throws IOException {
-    segment = ByteBuffer.allocate(segmentBytes - Segment.HEADER_BYTES);
     store.create(number, Segment.header(BATCH, number, bootId, segmentBytes), segmentBytes);
     newSegments.add(number);
+    writtenBytes = Segment.HEADER_BYTES;
+  }
+
+  /** Unused bytes of the newest segment. */
+  private int freeBytes() {
+    return segmentBytes - writtenBytes - buffer.position();
   }
 
   private void copy(LiveRecord live, boolean lastOfBatch) throws IOException {
@@ -146,6 +156,9 @@
     if (record == null) {
       throw new IOException("expected a record at " + at + ", found none or a corrupt one");
     }
+    if (buffer.remaining() < live.size()) {
+      flush();
+    }
     // Monotonic times of an earlier boot cannot be compared, so the record ages from now on.
     record
         .stamped(
@@ -153,14 +166,25 @@
             BATCH,
             live.sameBoot() ? record.writtenAtMillis() : wallMillis,
             live.sameBoot() ? record.writtenAtMonotonicMillis() : monotonicMillis)
-        .writeTo(segment);
+        .writeTo(buffer);
   }
 
   private void finishSegment() throws IOException {
-    if (segment != null) {
-      long number = newSegments.get(newSegments.size() - 1);
-      store.write(number, Segment.HEADER_BYTES, segment.flip());
-      store.sync(number);
+    if (!newSegments.isEmpty()) {
+      flush();
+      store.sync(newestSegment());
     }
   }
+
+  private void flush() throws IOException {
+    buffer.flip();
+    int flushedBytes = buffer.remaining();
+    store.write(newestSegment(), writtenBytes, buffer);
+    writtenBytes += flushedBytes;
+    buffer.clear();
+  }
+
+  private long newestSegment() {
+    return newSegments.get(newSegments.size() - 1);
+  }
 }
--- a/src/main/java/wharftrestle/storage/FileSegmentStore.java
+++ b/src/main/java/wharftrestle/storage/FileSegmentStore.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
@@ -13,29 +14,34 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.locks.ReentrantLock;
 import java.util.stream.LongStream;
 import org.tinylog.Logger;
 import wharftrestle.idempotency.KeyDigest;
+import wharftrestle.io.BoundedTransfers;
 
 /**
  * A segment store in a folder of the file system. Holds an exclusive file lock on the folder, which
- * the kernel releases if the process dies, and keeps segment channels open until {@link #close}.
- * Files are written under a temporary name and then renamed, so that no incomplete file appears
- * under its final name. Only the writer thread writes; any thread may read.
+ * the kernel releases if the process dies. Has one segment open for writing and one for reading;
+ * segments can be read after {@link #close} too. Files are written under a temporary name and then
+ * renamed, so that no incomplete file appears under its final name. Only one thread writes; any
+ * thread may read, one at a time.
  */
 final class FileSegmentStore implements SegmentStore {
   private static final String PREFIX = "results-";
   private static final String SUFFIX = ".log";
   private static final String MANIFEST = "list";
-  private static final int ZERO_FILL_BYTES = 256 * 1024;
+  private static final int MAX_MANIFEST_BYTES = 1 << 20;
   private static final long UNKNOWN_BOOT = 0;
 
   private final Path folder;
   private final FileChannel lockFile;
   private final FileLock lock;
-  private final Map<Long, FileChannel> openChannels = new ConcurrentHashMap<>();
+  private final OpenSegment writer = new OpenSegment(StandardOpenOption.WRITE); // guarded by itself
+  private final ReentrantLock readLock = new ReentrantLock();
+  private final OpenSegment reader =
+      new OpenSegment(StandardOpenOption.READ); // guarded by readLock
+  private boolean isClosed; // guarded by writer
 
   /**
    * Creates the folder if it is missing and locks it.
@@ -81,24 +87,10 @@
     return folder.resolve(String.format("%s%08d%s", PREFIX, number, SUFFIX));
   }
 
-  private FileChannel channel(long number) throws IOException {
-    FileChannel cached = openChannels.get(number);
-    if (cached != null) {
-      return cached;
-    }
-    FileChannel opened =
-        FileChannel.open(path(number), StandardOpenOption.READ, StandardOpenOption.WRITE);
-    FileChannel existing = openChannels.putIfAbsent(number, opened);
-    if (existing != null) {
-      opened.close();
-    }
-    return existing == null ? opened : existing;
-  }
-
   @Override
   public byte[] readManifest() throws IOException {
     try {
-      return Files.readAllBytes(folder.resolve(MANIFEST));
+      return BoundedTransfers.readFile(folder.resolve(MANIFEST), MAX_MANIFEST_BYTES);
     } catch (NoSuchFileException e) {
       return null;
     }
@@ -113,7 +105,7 @@
             StandardOpenOption.CREATE,
             StandardOpenOption.WRITE,
             StandardOpenOption.TRUNCATE_EXISTING)) {
-      writeFully(file, ByteBuffer.wrap(manifest), 0);
+      BoundedTransfers.write(file, 0, ByteBuffer.wrap(manifest));
       file.force(true);
     }
     try {
@@ -160,67 +152,114 @@
             StandardOpenOption.TRUNCATE_EXISTING)) {
       // Full size from the start: a sync of records then need not write the file length, and a
       // truncated file is detected.
-      ByteBuffer zeros = ByteBuffer.allocate(Math.min(ZERO_FILL_BYTES, size));
+      ByteBuffer zeros = ByteBuffer.allocate(Math.min(BoundedTransfers.MAX_BYTES, size));
       for (int at = 0; at < size; at += zeros.capacity()) {
-        writeFully(file, zeros.clear().limit(Math.min(zeros.capacity(), size - at)), at);
+        zeros.clear().limit(Math.min(zeros.capacity(), size - at));
+        BoundedTransfers.write(file, at, zeros);
       }
-      writeFully(file, header.duplicate(), 0);
+      BoundedTransfers.write(file, 0, header.duplicate());
       file.force(true);
     }
     Files.move(fresh, path(number), StandardCopyOption.ATOMIC_MOVE);
     syncFolder();
   }
 
-  private static void writeFully(FileChannel file, ByteBuffer bytes, long at) throws IOException {
-    for (long position = at; bytes.hasRemaining(); ) {
-      position += file.write(bytes, position);
-    }
-  }
-
   @Override
-  public ByteBuffer read(long number) throws IOException {
-    return ByteBuffer.wrap(Files.readAllBytes(path(number)));
+  public long size(long number) throws IOException {
+    return Files.size(path(number));
   }
 
   @Override
-  public ByteBuffer read(long number, int offset, int length) throws IOException {
-    ByteBuffer bytes = ByteBuffer.allocate(length);
-    FileChannel file = channel(number);
-    for (int read = 0; read >= 0 && bytes.hasRemaining(); ) {
-      read = file.read(bytes, offset + (long) bytes.position());
+  public void read(long number, int offset, ByteBuffer target) throws IOException {
+    readLock.lock();
+    try {
+      BoundedTransfers.read(reader.open(number), offset, target);
+    } finally {
+      readLock.unlock();
     }
-    return bytes.flip();
   }
 
   @Override
   public void write(long number, int offset, ByteBuffer bytes) throws IOException {
-    writeFully(channel(number), bytes, offset);
+    BoundedTransfers.write(openForWrite(number), offset, bytes);
   }
 
   @Override
   public void sync(long number) throws IOException {
-    channel(number).force(false);
+    openForWrite(number).force(false);
+  }
+
+  private FileChannel openForWrite(long number) throws IOException {
+    synchronized (writer) {
+      if (isClosed) {
+        throw new ClosedChannelException(); // another process may write to the folder by now
+      }
+      return writer.open(number);
+    }
   }
 
   @Override
   public void delete(long number) throws IOException {
-    FileChannel file = openChannels.remove(number);
-    if (file != null) {
-      file.close();
+    synchronized (writer) {
+      writer.close(number);
     }
+    closeReader(number);
     Files.deleteIfExists(path(number));
   }
 
   @Override
   public void close() {
-    for (FileChannel file : openChannels.values()) {
-      closeQuietly(file);
+    synchronized (writer) {
+      isClosed = true;
+      writer.close(writer.number);
     }
-    openChannels.clear();
+    closeReader(reader.number);
     closeQuietly(lock);
     closeQuietly(lockFile);
   }
 
+  /** Closes a segment for reading, unless a read is in progress, which the disk may hold up. */
+  private void closeReader(long number) {
+    if (readLock.tryLock()) {
+      try {
+        reader.close(number);
+      } finally {
+        readLock.unlock();
+      }
+    }
+  }
+
+  /**
+   * The channel of one segment, so that the number of descriptors does not depend on the number of
+   * segments. Not thread-safe.
+   */
+  private final class OpenSegment {
+    private final StandardOpenOption access;
+    private volatile long number;
+    private FileChannel channel; // null before the first segment
+
+    OpenSegment(StandardOpenOption access) {
+      this.access = access;
+    }
+
+    /** Opens a segment, and closes the one before. */
+    FileChannel open(long next) throws IOException {
+      if (channel == null || !channel.isOpen() || number != next) {
+        close(number);
+        channel = FileChannel.open(path(next), access);
+        number = next;
+      }
+      return channel;
+    }
+
+    /** Closes this segment if it is the open one. */
+    void close(long closed) {
+      if (channel != null && number == closed) {
+        closeQuietly(channel);
+      }
+    }
+  }
+
   private static void closeQuietly(AutoCloseable resource) {
     try {
       resource.close();
--- a/src/main/java/wharftrestle/storage/LogReader.java
+++ b/src/main/java/wharftrestle/storage/LogReader.java
@@ -1,7 +1,6 @@
 package wharftrestle.storage;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.List;
 import java.util.TreeSet;
@@ -80,12 +79,12 @@
 
   private void readSegment(long number, long bootId, boolean isLast)
       throws IOException, Segment.ForeignFormatException {
-    ByteBuffer bytes = store.read(number);
-    boolean sameBoot = Segment.isSameBoot(bytes, bootId);
+    Segment.Header header = store.readHeader(number);
+    boolean sameBoot = header != null && header.isOfBoot(bootId);
     double[] expiresAtSeconds = {Double.NEGATIVE_INFINITY};
     Segment.ScanResult scan =
-        Segment.scan(
-            bytes,
+        store.scan(
+            number,
             (record, offset) -> {
               if (recovery.replay(record, RecordLocation.pack(number, offset), sameBoot)) {
                 expiresAtSeconds[0] =
--- a/src/main/java/wharftrestle/storage/LogRecord.java
+++ b/src/main/java/wharftrestle/storage/LogRecord.java
@@ -177,14 +177,14 @@
   }
 
   /**
-   * Size that the first record of the buffer declares, without padding; 0 if the buffer is too
-   * short or the declared length exceeds the maximum. The record is not validated.
+   * Size that the record at an offset declares, without padding; 0 if the buffer is too short or
+   * the declared length exceeds the maximum. The record is not validated.
    */
-  static int declaredSize(ByteBuffer bytes) {
-    if (bytes.limit() < Integer.BYTES || bytes.getInt(0) > MAX_PAYLOAD_BYTES) {
+  static int declaredSize(ByteBuffer bytes, int offset) {
+    if (bytes.limit() - offset < Integer.BYTES || bytes.getInt(offset) > MAX_PAYLOAD_BYTES) {
       return 0;
     }
-    return bytes.getInt(0) + HEADER_BYTES;
+    return bytes.getInt(offset) + HEADER_BYTES;
   }
 
   /** Reads the record at an offset; null if there is no intact record. */
--- a/src/main/java/wharftrestle/storage/ResultLogTool.java
+++ b/src/main/java/wharftrestle/storage/ResultLogTool.java
@@ -53,10 +53,10 @@
     long monotonicMillis = LogClock.monotonicMillis();
     Recovery recovery = new Recovery(SteadyWallClock.steadyWallMillis(), monotonicMillis);
     for (long number : store.segmentNumbers()) {
-      ByteBuffer bytes = store.read(number);
-      boolean sameBoot = Compaction.isSameBoot(bytes, bootId);
+      boolean sameBoot = Compaction.isOfBoot(store, number, bootId);
       Compaction.scan(
-          bytes,
+          store,
+          number,
           (record, offset) -> {
             boolean isLive = recovery.replay(record, offset, sameBoot);
             String state =
@@ -190,8 +190,7 @@
   }
 
   private boolean verifySegment(PrintStream out, long number, boolean isLast) throws IOException {
-    ByteBuffer bytes = store.read(number);
-    Segment.ScanResult scan = Compaction.scan(bytes, (record, offset) -> {});
+    Segment.ScanResult scan = Compaction.scan(store, number, (record, offset) -> {});
     boolean damaged = scan.damaged() || (scan.torn() && !isLast);
     out.printf(
         Locale.ROOT,
@@ -199,7 +198,7 @@
         number,
         scan.recordCount(),
         scan.end(),
-        bytes.limit(),
+        store.size(number),
         damaged ? "DAMAGED" : scan.torn() ? "ends in a torn write" : "whole");
     return !damaged;
   }
@@ -217,14 +216,13 @@
     }
     long[] segments = store.segmentNumbers();
     long sizeBefore = 0;
-    int segmentBytes = 0;
+    long segmentBytes = 0;
     for (long number : segments) {
-      int length = store.read(number).limit();
-      sizeBefore += length;
-      segmentBytes = Math.max(segmentBytes, length);
+      sizeBefore += store.size(number);
+      segmentBytes = Math.max(segmentBytes, store.size(number));
     }
     boolean compacted =
-        segments.length > 0 && Compaction.run(store, segmentBytes, 2 * segments.length + 1);
+        segments.length > 0 && Compaction.run(store, (int) segmentBytes, 2 * segments.length + 1);
     long[] after = store.segmentNumbers();
     out.printf(
         Locale.ROOT,
--- a/src/main/java/wharftrestle/storage/Segment.java
+++ b/src/main/java/wharftrestle/storage/Segment.java
@@ -32,6 +32,9 @@
 
   private static final long UNKNOWN_BOOT = 0;
 
+  /** Largest file that is read as a segment; segments of all versions are smaller. */
+  private static final int MAX_FILE_BYTES = 1 << 30;
+
   private Segment() {}
 
   /**
@@ -40,7 +43,13 @@
    * @param bootId ID of the boot in which the records were written; their monotonic times are valid
    *     only in that boot
    */
-  record Header(int version, int firstBatch, long number, long bootId, long capacity) {}
+  record Header(int version, int firstBatch, long number, long bootId, long capacity) {
+
+    /** True if the records were written during the given boot. */
+    boolean isOfBoot(long currentBootId) {
+      return currentBootId != UNKNOWN_BOOT && bootId == currentBootId;
+    }
+  }
 
   /** Called for each intact record in the order of the file. */
   interface RecordVisitor {
@@ -134,14 +143,16 @@
     return magic == 0 || matchingBytes >= MIN_MATCHING_MAGIC_BYTES;
   }
 
-  /** True if the records were written during the given boot. */
-  static boolean isSameBoot(ByteBuffer bytes, long bootId) throws ForeignFormatException {
-    Header header = readHeader(bytes);
-    return header != null && bootId != UNKNOWN_BOOT && header.bootId() == bootId;
-  }
-
-  /** Visits the intact records in the order of the file, and detects torn writes and damage. */
-  static ScanResult scan(ByteBuffer bytes, RecordVisitor visitor) throws ForeignFormatException {
-    return new SegmentScan(bytes, readHeader(bytes)).run(visitor);
+  /**
+   * The size of a file as an int.
+   *
+   * @throws ForeignFormatException if offsets in a file of this size cannot be stored
+   */
+  static int checkSize(long bytes) throws ForeignFormatException {
+    if (bytes > MAX_FILE_BYTES) {
+      throw new ForeignFormatException(
+          "a file has " + bytes + " bytes, expected a segment of at most " + MAX_FILE_BYTES);
+    }
+    return (int) bytes;
   }
 }
--- a/src/main/java/wharftrestle/storage/WriteAheadLog.java
+++ b/src/main/java/wharftrestle/storage/WriteAheadLog.java
@@ -388,7 +388,7 @@
 
   private static LogRecord readRecord(SegmentStore source, RecordLocation at) throws IOException {
     ByteBuffer bytes = source.read(at.segment(), at.offset(), FIRST_READ_BYTES);
-    int recordBytes = LogRecord.declaredSize(bytes);
+    int recordBytes = LogRecord.declaredSize(bytes, 0);
     if (recordBytes > FIRST_READ_BYTES) {
       bytes = source.read(at.segment(), at.offset(), recordBytes);
     }
--- a/src/main/java/wharftrestle/testbed/DaemonProcess.java
+++ b/src/main/java/wharftrestle/testbed/DaemonProcess.java
@@ -33,10 +33,22 @@
    */
   DaemonProcess(List<String> command, Map<String, String> environment, Path log, int adminPort)
       throws IOException {
+    this(command, environment, Path.of("").toAbsolutePath(), log, adminPort);
+  }
+
+  /** The same in a working directory. */
+  DaemonProcess(
+      List<String> command,
+      Map<String, String> environment,
+      Path directory,
+      Path log,
+      int adminPort)
+      throws IOException {
     this.log = log;
     this.adminPort = adminPort;
     ProcessBuilder builder =
         new ProcessBuilder(command)
+            .directory(directory.toFile())
             .redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
     for (String variable : List.of("TMPDIR", "EDGE_NAME", "EDGE_LISTEN", "EDGE_CONSOLE")) {
--- a/src/main/java/wharftrestle/testbed/FleetTestbed.java
+++ b/src/main/java/wharftrestle/testbed/FleetTestbed.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import java.io.Closeable;
-import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.HttpURLConnection;
@@ -15,18 +14,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
-import java.util.jar.Attributes;
-import java.util.jar.JarEntry;
-import java.util.jar.JarOutputStream;
-import java.util.jar.Manifest;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import wharftrestle.supervisor.ReleaseDirectory;
 import wharftrestle.transport.Address;
@@ -192,26 +185,16 @@
    */
   public void pack(String name, String main, String marker) throws IOException {
     Path jar = folder.resolve(name + ".jar");
-    Manifest manifest = new Manifest();
-    manifest.getMainAttributes().put(Attributes.Name.MANIFEST_VERSION, "1.0");
-    manifest.getMainAttributes().put(Attributes.Name.MAIN_CLASS, main);
-    manifest
-        .getMainAttributes()
-        .put(
-            Attributes.Name.CLASS_PATH,
-            Arrays.stream(classPath().split(File.pathSeparator))
-                .map(each -> Path.of(each).toUri().toString())
-                .collect(Collectors.joining(" ")));
-    try (JarOutputStream out = new JarOutputStream(Files.newOutputStream(jar), manifest)) {
-      out.putNextEntry(new JarEntry("release.txt"));
-      out.write((name + " " + marker).getBytes(StandardCharsets.UTF_8));
-      out.closeEntry();
+    try (InputStream buildInfo = BuildInfo.class.getResourceAsStream("/" + BUILD_INFO_ENTRY)) {
       // A build is identified by the jar that contains this class.
-      out.putNextEntry(new JarEntry(BUILD_INFO_ENTRY));
-      try (InputStream in = BuildInfo.class.getResourceAsStream("/" + BUILD_INFO_ENTRY)) {
-        in.transferTo(out);
-      }
-      out.closeEntry();
+      ThinJar.write(
+          jar,
+          main,
+          Map.of(
+              "release.txt",
+              (name + " " + marker).getBytes(StandardCharsets.UTF_8),
+              BUILD_INFO_ENTRY,
+              buildInfo.readAllBytes()));
     }
     // Results are kept on disk, in a folder of each host, so a daemon that dies loses no key.
     Path settings =
@@ -219,14 +202,6 @@
     new ReleaseDirectory(releases).pack(jar, settings, name);
   }
 
-  private static String classPath() {
-    String all =
-        System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
-    return Arrays.stream(all.split(File.pathSeparator))
-        .map(each -> Path.of(each).toAbsolutePath().toString())
-        .collect(Collectors.joining(File.pathSeparator));
-  }
-
   private static List<String> javaCommand() {
     List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java"));
     command.addAll(JVM_OPTIONS);
@@ -254,7 +229,7 @@
     command.addAll(
         List.of(
             "-cp",
-            classPath(),
+            ThinJar.classPath(),
             main,
             "box",
             "run",
@@ -334,7 +309,7 @@
     command.addAll(
         List.of(
             "-cp",
-            classPath(),
+            ThinJar.classPath(),
             "wharftrestle.Main",
             "fleet",
             "roll",
--- a/src/main/java/wharftrestle/testbed/HostTestbed.java
+++ b/src/main/java/wharftrestle/testbed/HostTestbed.java
@@ -100,6 +100,7 @@
   public record Version(Path jar, String main, Settings settings, String script) {}
 
   private volatile FakeWorkerPool pool;
+  private RunScript runScript; // null unless daemons are started by it
   private String shellPrefix = "";
   private int descriptorLimit = 512;
   private final ServerSocket storeSocket =
@@ -169,6 +170,14 @@
     Files.writeString(folder.resolve("config.json"), config(version.settings(), daemonAdminPort));
   }
 
+  /**
+   * Starts daemons of this class path by the deployed start script from now on. Their wall clock is
+   * that of the machine.
+   */
+  public void useRunScript() throws IOException {
+    runScript = new RunScript(Files.createDirectories(folder.resolve("deployed")));
+  }
+
   /** Closes the fake name service permanently. */
   public void closeNameService() {
     nameServiceSocket.close();
@@ -272,22 +281,35 @@
   /** Starts the single daemon without waiting until it is ready. */
   public DaemonProcess launch() throws IOException {
     // Memory is measured with the deployed start script (property "packaged").
-    List<String> command =
-        new ArrayList<>(
-            Boolean.getBoolean("packaged") && version.main().equals("wharftrestle.Main")
-                ? List.of("sh", "deploy/run.sh")
-                : DaemonProcess.command(null, version.main(), play.memoryMb()));
+    List<String> command = new ArrayList<>(launchCommand());
     if (!shellPrefix.isEmpty()) {
       command.addAll(0, List.of("/bin/sh", "-c", shellPrefix + "exec \"$@\"", "sh"));
     }
     command.addAll(settingsArguments(version.script(), "appliance.star"));
     daemon =
         new DaemonProcess(
-            command, environment("config.json"), folder.resolve("daemon.log"), daemonAdminPort);
+            command,
+            environment("config.json"),
+            workingDirectory(),
+            folder.resolve("daemon.log"),
+            daemonAdminPort);
     processes.add(daemon);
     return daemon;
   }
 
+  private List<String> launchCommand() {
+    if (runScript != null) {
+      return runScript.command();
+    }
+    return Boolean.getBoolean("packaged") && version.main().equals("wharftrestle.Main")
+        ? List.of("sh", "deploy/run.sh")
+        : DaemonProcess.command(null, version.main(), play.memoryMb());
+  }
+
+  private Path workingDirectory() {
+    return runScript == null ? Path.of("").toAbsolutePath() : runScript.directory();
+  }
+
   /**
    * Waits up to {@code ms} for a load report that this host accepts work; false if none arrives.
    */
@@ -315,15 +337,23 @@
     int processAdminPort = Address.freePort();
     String config = "config-" + number + ".json";
     Files.writeString(folder.resolve(config), config(next.settings(), processAdminPort));
-    List<String> command =
-        new ArrayList<>(DaemonProcess.command(next.jar(), next.main(), next.settings().memoryMb()));
-    command.add(1, clock.option());
+    List<String> command = new ArrayList<>();
+    if (runScript == null) {
+      command.addAll(DaemonProcess.command(next.jar(), next.main(), next.settings().memoryMb()));
+      command.add(1, clock.option());
+    } else {
+      command.addAll(runScript.command());
+    }
     command.addAll(settingsArguments(next.script(), "appliance-" + number + ".star"));
     Map<String, String> environment = environment(config);
     environment.put("TMPDIR", folder.toString());
     DaemonProcess process =
         new DaemonProcess(
-            command, environment, folder.resolve("daemon-" + number + ".log"), processAdminPort);
+            command,
+            environment,
+            workingDirectory(),
+            folder.resolve("daemon-" + number + ".log"),
+            processAdminPort);
     processes.add(process);
     return process;
   }
@@ -334,12 +364,21 @@
     }
     Path file = folder.resolve(name);
     Files.writeString(file, script);
-    return List.of("--appliance", file.toString());
+    return List.of("--appliance", file.toAbsolutePath().toString());
   }
 
   private Map<String, String> environment(String config) {
-    return new HashMap<>(
-        Map.of("EDGE_CONFIG", folder.resolve(config).toString(), "MALLOC_ARENA_MAX", "1"));
+    Map<String, String> environment =
+        new HashMap<>(
+            Map.of(
+                "EDGE_CONFIG",
+                folder.resolve(config).toAbsolutePath().toString(),
+                "MALLOC_ARENA_MAX",
+                "1"));
+    if (runScript != null) {
+      environment.put("PATH", runScript.searchPath());
+    }
+    return environment;
   }
 
   /** The daemon that {@link #start} or {@link #launch} started last. */
--- a/src/test/java/wharftrestle/storage/MemorySegmentStore.java
+++ b/src/test/java/wharftrestle/storage/MemorySegmentStore.java
@@ -182,19 +182,20 @@
   }
 
   @Override
-  public synchronized ByteBuffer read(long number) {
-    return ByteBuffer.wrap(bytes(number).clone());
+  public synchronized long size(long number) {
+    return bytes(number).length;
   }
 
   @Override
-  public synchronized ByteBuffer read(long number, int from, int length) throws IOException {
+  public synchronized void read(long number, int from, ByteBuffer target) throws IOException {
     File file = files.get(number);
     if (file == null) {
       throw new IOException("no segment " + number);
     }
-    byte[] part = new byte[Math.max(0, Math.min(length, file.visible.length - from))];
-    System.arraycopy(file.visible, from, part, 0, part.length);
-    return ByteBuffer.wrap(part);
+    int end = (int) Math.min(file.visible.length, (long) from + target.remaining());
+    if (from < end) {
+      target.put(file.visible, from, end - from);
+    }
   }
 
   @Override
--- a/src/test/java/wharftrestle/storage/StoredFormatFixtures.java
+++ b/src/test/java/wharftrestle/storage/StoredFormatFixtures.java
@@ -170,7 +170,7 @@
   /** Simulates a torn write: appends the first bytes of another record, followed by zeros. */
   private static void tearTail(Path segment) throws Exception {
     byte[] bytes = Files.readAllBytes(segment);
-    Segment.ScanResult scan = Segment.scan(ByteBuffer.wrap(bytes), (record, offset) -> {});
+    Segment.ScanResult scan = SegmentBytes.scan(bytes, (record, offset) -> {});
     LogRecord torn =
         new LogRecord(
             LogRecord.Kind.INTENT,
@@ -198,9 +198,8 @@
       byte[] bytes = Files.readAllBytes(folder.resolve(name));
       StringBuilder records = new StringBuilder();
       Segment.ScanResult scan =
-          Segment.scan(
-              ByteBuffer.wrap(bytes),
-              (record, offset) -> records.append(describe(record, offset)).append('\n'));
+          SegmentBytes.scan(
+              bytes, (record, offset) -> records.append(describe(record, offset)).append('\n'));
       Segment.Header header = scan.header();
       text.append(
           String.format(
@@ -336,13 +335,13 @@
     }
 
     @Override
-    public ByteBuffer read(long number) throws IOException {
-      return files.read(number);
+    public long size(long number) throws IOException {
+      return files.size(number);
     }
 
     @Override
-    public ByteBuffer read(long number, int from, int length) throws IOException {
-      return files.read(number, from, length);
+    public void read(long number, int from, ByteBuffer target) throws IOException {
+      files.read(number, from, target);
     }
 
     @Override
--- a/src/test/java/wharftrestle/storage/StoredFormatTest.java
+++ b/src/test/java/wharftrestle/storage/StoredFormatTest.java
@@ -46,9 +46,9 @@
 
   @Test
   void scan_ofLastStoredSegment_isTornAndNotDamaged() throws Exception {
-    ByteBuffer last = ByteBuffer.wrap(Files.readAllBytes(STORE.resolve(SEGMENTS.get(2))));
+    byte[] last = Files.readAllBytes(STORE.resolve(SEGMENTS.get(2)));
 
-    Segment.ScanResult scan = Segment.scan(last, (record, offset) -> {});
+    Segment.ScanResult scan = SegmentBytes.scan(last, (record, offset) -> {});
 
     assertEquals("torn=true damaged=false", "torn=" + scan.torn() + " damaged=" + scan.damaged());
   }
--- a/src/test/java/wharftrestle/storage/WriteAheadLogTest.java
+++ b/src/test/java/wharftrestle/storage/WriteAheadLogTest.java
@@ -204,9 +204,8 @@
     for (int cut = 0; cut <= complete.length; cut++) {
       Set<String> foundKeys = new HashSet<>();
       Segment.ScanResult scan =
-          Segment.scan(
-              ByteBuffer.wrap(Arrays.copyOf(complete, cut)),
-              (record, at) -> foundKeys.add(record.key()));
+          SegmentBytes.scan(
+              Arrays.copyOf(complete, cut), (record, at) -> foundKeys.add(record.key()));
       int last = cut;
       long lost =
           records.stream()
@@ -228,8 +227,7 @@
       byte[] torn = complete.clone();
       Arrays.fill(torn, cut, torn.length, (byte) 0);
       List<LogRecord> foundRecords = new ArrayList<>();
-      Segment.ScanResult scan =
-          Segment.scan(ByteBuffer.wrap(torn), (record, at) -> foundRecords.add(record));
+      Segment.ScanResult scan = SegmentBytes.scan(torn, (record, at) -> foundRecords.add(record));
       assertFalse(
           scan.damaged(), "a write that was never synced must not count as damage, cut at " + cut);
       for (int i = 0; i < records.size(); i++) {
@@ -249,8 +247,7 @@
       byte[] bad = complete.clone();
       bad[at] ^= 0x41;
       int[] intactRecords = {0};
-      Segment.ScanResult scan =
-          Segment.scan(ByteBuffer.wrap(bad), (record, offset) -> intactRecords[0]++);
+      Segment.ScanResult scan = SegmentBytes.scan(bad, (record, offset) -> intactRecords[0]++);
       boolean padding = intactRecords[0] == 9; // a corrupt padding byte is not detected
       boolean lastBatch = at >= offsets.get(6);
       assertTrue(padding || intactRecords[0] == 8, "one corrupt byte invalidates one record");
@@ -320,7 +317,7 @@
       byte[] bytes, Map<String, LogRecord> model, boolean damaged, int cut) throws Exception {
     Recovery recovery = new Recovery(System.currentTimeMillis(), 1000);
     Segment.ScanResult scan =
-        Segment.scan(ByteBuffer.wrap(bytes), (record, at) -> recovery.replay(record, at, true));
+        SegmentBytes.scan(bytes, (record, at) -> recovery.replay(record, at, true));
     assertEquals(
         damaged,
         scan.damaged(),
@@ -353,7 +350,62 @@
       int at = Segment.HEADER_BYTES + random.nextInt(bytes.length - Segment.HEADER_BYTES);
       bytes[at] = (byte) random.nextInt();
     }
-    Segment.scan(ByteBuffer.wrap(bytes), (record, at) -> assertNotNull(record.key()));
+    SegmentBytes.scan(bytes, (record, at) -> assertNotNull(record.key()));
+  }
+
+  /** Guards against a scan whose result depends on where its windows end. */
+  @Property(tries = 60, seed = "29421")
+  void scan_inWindowsOfAnySize_equalsScanInOnePiece(
+      @ForAll long seed,
+      @ForAll @IntRange(min = 0, max = 40) int changes,
+      @ForAll @IntRange(min = 0, max = 20_000) int extraWindowBytes)
+      throws Exception {
+    byte[] bytes = segmentOfLargeRecords(new Random(seed), changes);
+    List<String> expected = new ArrayList<>();
+    List<String> found = new ArrayList<>();
+
+    Segment.ScanResult whole =
+        SegmentBytes.scan(bytes, (record, offset) -> expected.add(offset + " " + record.batch()));
+    Segment.ScanResult inWindows =
+        SegmentBytes.scan(
+            bytes,
+            SegmentScan.MIN_WINDOW_BYTES + extraWindowBytes,
+            (record, offset) -> found.add(offset + " " + record.batch()));
+
+    assertEquals(expected, found);
+    assertEquals(whole, inWindows);
+  }
+
+  /** A segment longer than several windows, with records up to the largest, cut and changed. */
+  private static byte[] segmentOfLargeRecords(Random random, int changes) {
+    int segmentBytes = 600 * 1024;
+    ByteBuffer file = ByteBuffer.allocate(segmentBytes);
+    file.put(Segment.header(1, 3, 7, segmentBytes));
+    for (int batch = 1;
+        file.remaining() > LogRecord.size(20, LogRecord.MAX_RESULT_BYTES);
+        batch++) {
+      int maxBytes = random.nextBoolean() ? LogRecord.MAX_RESULT_BYTES : 2000;
+      byte[] result = new byte[random.nextInt(maxBytes + 1)];
+      random.nextBytes(result);
+      new LogRecord(
+              LogRecord.Kind.RESULT,
+              random.nextBoolean(),
+              batch,
+              1000,
+              1000,
+              9000,
+              20_000,
+              batch,
+              "2/0/key" + batch,
+              result)
+          .writeTo(file);
+    }
+    byte[] bytes = file.array();
+    for (int i = 0; i < changes; i++) {
+      bytes[Segment.HEADER_BYTES + random.nextInt(segmentBytes - Segment.HEADER_BYTES)] =
+          (byte) random.nextInt();
+    }
+    return Arrays.copyOf(bytes, segmentBytes - (random.nextBoolean() ? random.nextInt(1000) : 0));
   }
 
   @Example
