Bound the direct memory of every thread, and allow what all threads together need

Each socket read and write went through a direct buffer of its size, up to 128 kB, which its thread keeps. 180 requests with results of up to 60 kB at memory_mb = 192, or 1,340 connections that each got a kept result at memory_mb = 1024 and sockets = 4096, filled the 4 MB of deploy/run.sh, which did not depend on the settings.

Change: writes to callers, store, worker pool and peer process, and reads, are at most 8 kB each, so a thread keeps at most 8 kB. The limit follows from the threads that memory_mb allows: 4 MB for those that every process has, and a fifteenth of the memory for further threads, of which each is counted with 0.12 MB. ResourceLimits.maxDirectBytes adds the parts up. A batch of commands to the worker pool is written once it has 4 kB, so its buffer does not grow with what waits.

--- a/src/main/java/wharftrestle/daemon/ResourceLimits.java
+++ b/src/main/java/wharftrestle/daemon/ResourceLimits.java
@@ -1,6 +1,8 @@
 package wharftrestle.daemon;
 
 import wharftrestle.config.DaemonConfig;
+import wharftrestle.io.BoundedTransfers;
+import wharftrestle.request.RequestCoordinator;
 import wharftrestle.transport.DescriptorBudget;
 
 /**
@@ -40,6 +42,15 @@
   private static final int MIN_CONNECTIONS = 16;
   private static final double GATEWAY_CONNECTION_FRACTION = 0.25;
 
+  /**
+   * Threads that every process may have: accept and go-away threads of three servers, links to the
+   * worker pool and to the peer process, timers, reporter, log writer, signals and main thread.
+   */
+  private static final int OTHER_THREADS = 64;
+
+  /** Largest datagrams of the SNMP agent, one received and one sent. */
+  private static final int DATAGRAM_BYTES = 2 * 64 * 1024;
+
   private static final double BYTES_PER_MB = 1024 * 1024;
 
   /**
@@ -49,10 +60,16 @@
    * @param heapBytes maximum size of the heap
    */
   static ResourceLimits of(DaemonConfig config, boolean hasGateways, long heapBytes) {
-    int threads = threads(config.memoryMb(), heapBytes);
+    return of(config.memoryMb(), config.cores(), config.sockets(), hasGateways, heapBytes);
+  }
+
+  /** The same from the limits that a configuration names. */
+  static ResourceLimits of(
+      double memoryMb, double cores, int sockets, boolean hasGateways, long heapBytes) {
+    int threads = threads(memoryMb, heapBytes);
     int maxRequests = Math.max(MIN_REQUESTS, Math.min(MAX_REQUESTS, threads / 2));
-    DescriptorBudget descriptors = DescriptorBudget.of(config.sockets());
-    int connections = (int) Math.min(descriptors.callers(), CONNECTIONS_PER_CORE * config.cores());
+    DescriptorBudget descriptors = DescriptorBudget.of(sockets);
+    int connections = (int) Math.min(descriptors.callers(), CONNECTIONS_PER_CORE * cores);
     int maxConnections = Math.max(MIN_CONNECTIONS, Math.min(connections, threads - maxRequests));
     int maxGatewayConnections =
         hasGateways ? (int) (GATEWAY_CONNECTION_FRACTION * maxConnections) : 0;
@@ -65,6 +82,24 @@
     return (int) (((1 - FREE_MEMORY_FRACTION) * memoryMb - PROGRAM_MB - heapMb) / THREAD_MB);
   }
 
+  /**
+   * Most direct memory that all threads together keep for their reads and writes, in bytes.
+   * deploy/run.sh allows at least as much.
+   */
+  long maxDirectBytes() {
+    long threads =
+        (long) maxRequests
+            + RequestCoordinator.EXTRA_REQUEST_THREADS
+            + maxConnections
+            + descriptors.leaving()
+            + descriptors.gatewaysLeaving()
+            + descriptors.calls()
+            + descriptors.operators()
+            + descriptors.operatorsLeaving()
+            + OTHER_THREADS;
+    return threads * BoundedTransfers.MAX_BYTES + DATAGRAM_BYTES;
+  }
+
   /** Limit of the connections of the platform's front ends. */
   int maxFrontendConnections() {
     return maxConnections - maxGatewayConnections;
--- a/src/main/java/wharftrestle/io/BoundedTransfers.java
+++ b/src/main/java/wharftrestle/io/BoundedTransfers.java
@@ -2,8 +2,10 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.nio.channels.WritableByteChannel;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 
@@ -49,6 +51,24 @@
     }
   }
 
+  /** Writes all bytes to the output of a socket. */
+  public static void write(OutputStream output, byte[] bytes) throws IOException {
+    for (int offset = 0; offset < bytes.length; offset += MAX_BYTES) {
+      output.write(bytes, offset, Math.min(MAX_BYTES, bytes.length - offset));
+    }
+  }
+
+  /** Writes some of the remaining bytes of a buffer to a channel. */
+  public static void writeSome(WritableByteChannel channel, ByteBuffer source) throws IOException {
+    int limit = source.limit();
+    source.limit(Math.min(limit, source.position() + MAX_BYTES));
+    try {
+      channel.write(source);
+    } finally {
+      source.limit(limit);
+    }
+  }
+
   /**
    * Reads a whole file of limited size.
    *
--- a/src/main/java/wharftrestle/request/RequestCoordinator.java
+++ b/src/main/java/wharftrestle/request/RequestCoordinator.java
@@ -18,6 +18,9 @@
  * called by any thread.
  */
 public final class RequestCoordinator {
+  /** Threads beyond the maximum of requests in flight, for requests that have just ended. */
+  public static final int EXTRA_REQUEST_THREADS = 32;
+
   private final RequestParts parts;
   private final ReentrantLock lock;
   private final long seed;
--- a/src/main/java/wharftrestle/request/RequestLifecycle.java
+++ b/src/main/java/wharftrestle/request/RequestLifecycle.java
@@ -17,9 +17,6 @@
  */
 final class RequestLifecycle {
 
-  /** Threads beyond the maximum of requests in flight, for requests that have just ended. */
-  private static final int EXTRA_THREADS = 32;
-
   private static final int CORE_THREADS = 8;
   private static final int THREAD_IDLE_SECONDS = 5;
 
@@ -59,7 +56,7 @@
     threads =
         new ThreadPoolExecutor(
             CORE_THREADS,
-            maxInFlight + EXTRA_THREADS,
+            maxInFlight + RequestCoordinator.EXTRA_REQUEST_THREADS,
             THREAD_IDLE_SECONDS,
             TimeUnit.SECONDS,
             new SynchronousQueue<>(),
--- a/src/main/java/wharftrestle/testbed/DaemonProcess.java
+++ b/src/main/java/wharftrestle/testbed/DaemonProcess.java
@@ -166,9 +166,13 @@
     return new PrivateMemory(heapKb / 1024.0, (totalKb - heapKb) / 1024.0);
   }
 
-  /** Command line for a build; a null jar means the class path of this process. */
+  /**
+   * Command line for a build, with the limits of deploy/run.sh; a null jar means the class path of
+   * this process.
+   */
   static List<String> command(Path jar, String main, int memoryMb) {
     int heap = Math.max(16, Math.min(40, memoryMb * 3 / 10));
+    int direct = 4 + Math.max(0, memoryMb * 92 / 100 - 28 - heap) / 15;
     List<String> command =
         new ArrayList<>(
             List.of(
@@ -180,7 +184,7 @@
                 "-Xss192k",
                 "-XX:MaxMetaspaceSize=40m",
                 "-XX:ReservedCodeCacheSize=16m",
-                "-XX:MaxDirectMemorySize=4m",
+                "-XX:MaxDirectMemorySize=" + direct + "m",
                 "-cp",
                 jar != null
                     ? jar.toString()
--- a/src/main/java/wharftrestle/testbed/HostTestbed.java
+++ b/src/main/java/wharftrestle/testbed/HostTestbed.java
@@ -102,6 +102,7 @@
   private volatile FakeWorkerPool pool;
   private RunScript runScript; // null unless daemons are started by it
   private String shellPrefix = "";
+  private double coreLimit = 1;
   private int descriptorLimit = 512;
   private final ServerSocket storeSocket =
       new ServerSocket(0, 50, LOOPBACK); // fake store; it accepts no connection
@@ -163,6 +164,13 @@
     shellPrefix += "trap '' HUP; ";
   }
 
+  /** Sets the configured cores and descriptors of the daemon, without limiting the process. */
+  public void configureLimits(double cores, int descriptors) throws IOException {
+    coreLimit = cores;
+    descriptorLimit = descriptors;
+    Files.writeString(folder.resolve("config.json"), config(version.settings(), daemonAdminPort));
+  }
+
   /** Sets the configured and the actual limit of open descriptors of the daemon. */
   public void limitDescriptors(int configured, int actual) throws IOException {
     shellPrefix += "ulimit -n " + actual + "; ";
@@ -242,7 +250,7 @@
     return """
                 {"name": "n1", "listen": "127.0.0.1:%d", "pool": "127.0.0.1:%d", "db": "127.0.0.1:%d",
                  "naming": "127.0.0.1:%d", "console": "127.0.0.1:%d", "seed": "7", "stop_ms": 3200,
-                 "limits": {"cores": 1.0, "memory_mb": %d, "sockets": %d},
+                 "limits": {"cores": %s, "memory_mb": %d, "sockets": %d},
                  "settings": {
                   "categories": [
                    %s],
@@ -262,6 +270,7 @@
             portFor("store", storeSocket.getLocalPort()),
             portFor("names", nameServicePort),
             adminPort,
+            coreLimit,
             processSettings.memoryMb(),
             descriptorLimit,
             String.join(",\n", processSettings.classes()),
--- a/src/main/java/wharftrestle/transport/BoundedReader.java
+++ b/src/main/java/wharftrestle/transport/BoundedReader.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import org.tinylog.Logger;
+import wharftrestle.io.BoundedTransfers;
 
 /**
  * Helpers shared by the protocol parsers: lines, numbers and bodies of bounded length. A limit is
@@ -55,7 +56,7 @@
           deadlineNanos == 0
               ? 0
               : (int) Math.max(1, (deadlineNanos - System.nanoTime()) / 1_000_000));
-      return input.read(buffer, offset, length);
+      return input.read(buffer, offset, Math.min(length, BoundedTransfers.MAX_BYTES));
     }
 
     @Override
--- a/src/main/java/wharftrestle/transport/Connection.java
+++ b/src/main/java/wharftrestle/transport/Connection.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.locks.LockSupport;
 import org.tinylog.Logger;
+import wharftrestle.io.BoundedTransfers;
 import wharftrestle.transport.ConnectionState.Action;
 import wharftrestle.transport.ConnectionState.Phase;
 
@@ -209,7 +210,7 @@
         for (byte[] each = state.nextMessage(System.nanoTime());
             each != null;
             each = state.nextMessage(System.nanoTime())) {
-          socket.getOutputStream().write(each);
+          BoundedTransfers.write(socket.getOutputStream(), each);
         }
         next = state.onQueueWritten(System.nanoTime());
       }
--- a/src/main/java/wharftrestle/transport/PeerLink.java
+++ b/src/main/java/wharftrestle/transport/PeerLink.java
@@ -20,6 +20,7 @@
 import org.tinylog.Logger;
 import wharftrestle.handover.PeerProcess;
 import wharftrestle.idempotency.KeyDigest;
+import wharftrestle.io.BoundedTransfers;
 import wharftrestle.request.PeerCoordinator;
 import wharftrestle.request.PlatformThreads;
 import wharftrestle.version.VersionRange;
@@ -410,7 +411,7 @@
     try {
       for (byte[] next = outgoing.take(); next.length > 0; next = outgoing.take()) {
         for (ByteBuffer remaining = ByteBuffer.wrap(next); remaining.hasRemaining() && !isMuted; ) {
-          channel.write(remaining);
+          BoundedTransfers.writeSome(channel, remaining);
         }
         synchronized (outgoing) {
           writtenCount++;
--- a/src/main/java/wharftrestle/upstream/StoreClient.java
+++ b/src/main/java/wharftrestle/upstream/StoreClient.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.tinylog.Logger;
 import wharftrestle.admission.Admission.Outcome;
+import wharftrestle.io.BoundedTransfers;
 import wharftrestle.metrics.Counters;
 import wharftrestle.metrics.Counters.Count;
 import wharftrestle.request.DependencyCall;
@@ -133,7 +134,7 @@
       try {
         BoundedReader.DeadlineInputStream in = new BoundedReader.DeadlineInputStream(socket);
         in.setDeadlineNanos(deadlineNanos + RESPONSE_GRACE_MS * NANOS_PER_MILLI);
-        socket.getOutputStream().write(BoundedReader.join(encodeHead(), body));
+        BoundedTransfers.write(socket.getOutputStream(), BoundedReader.join(encodeHead(), body));
         return StoreResponse.read(new BufferedInputStream(in, READ_BUFFER_BYTES));
       } catch (SocketTimeoutException timeout) {
         return StoreResponse.none(Outcome.TIMED_OUT);
--- a/src/main/java/wharftrestle/upstream/WorkerPoolLink.java
+++ b/src/main/java/wharftrestle/upstream/WorkerPoolLink.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.concurrent.locks.ReentrantLock;
 import org.tinylog.Logger;
+import wharftrestle.io.BoundedTransfers;
 import wharftrestle.transport.BoundedReader;
 
 /**
@@ -22,6 +23,7 @@
    */
   private static final int POLL_INTERVAL_MS = 250;
 
+  /** Size from which the commands of a batch are written, so that a batch does not grow further. */
   private static final int BATCH_BYTES = 4096;
 
   private final Socket socket;
@@ -92,12 +94,14 @@
   void flush() {
     while (!commands.isEmpty() && !isClosed && writeLock.tryLock()) {
       try {
-        batch.reset();
         for (LinkCommand next = commands.poll(); next != null; next = commands.poll()) {
           next.markWriteStarted();
           batch.writeBytes(next.bytes());
+          if (batch.size() >= BATCH_BYTES) {
+            writeBatch();
+          }
         }
-        batch.writeTo(socket.getOutputStream());
+        writeBatch();
       } catch (IOException e) {
         Logger.debug("worker pool write failed: {}", e.getMessage());
         BoundedReader.closeQuietly(socket); // the reading thread establishes the link again
@@ -108,6 +112,12 @@
     }
   }
 
+  private void writeBatch() throws IOException {
+    byte[] bytes = batch.toByteArray();
+    batch.reset();
+    BoundedTransfers.write(socket.getOutputStream(), bytes);
+  }
+
   /** Writes polls, and sends one after each interval without a poll, until the link is closed. */
   void writePolls() {
     writer = Thread.currentThread();
