Recover no more stored keys than memory has space for

What callers saw: a daemon whose stored results have more keys than its heap can hold did not start: 'OutOfMemoryError: Java heap space' with a stack trace, at each further start too.

While it runs, a daemon admits keys up to a bound of its heap. But keys that expired before a reboot of the machine count as live after it, a log outlives a change of memory_mb, and a compaction held all keys three times.

Change: Recovery keeps the newest maxKeys, as many as the table has rows. If it drops any, unknown keys fail for one window, as for a damaged log, so none runs twice; one log line says so. Compaction uses the keys of the first pass in place of a second one, and they are freed before the log is read again; the list of recovered keys is no copy any more.

--- a/src/main/java/wharftrestle/daemon/StoredResults.java
+++ b/src/main/java/wharftrestle/daemon/StoredResults.java
@@ -55,7 +55,7 @@
    */
   void open() throws IOException {
     if (log != null) {
-      requests.restore(log.open(longestWindowSeconds));
+      requests.restore(log.open(longestWindowSeconds, requests.maxKeys()));
     }
   }
 
--- a/src/main/java/wharftrestle/request/RequestCoordinator.java
+++ b/src/main/java/wharftrestle/request/RequestCoordinator.java
@@ -71,6 +71,11 @@
     }
   }
 
+  /** The maximum number of settled keys. */
+  public int maxKeys() {
+    return parts.recorder.maxKeys();
+  }
+
   /** Restores the keys that an earlier process of this host recorded on disk. */
   public void restore(ResultStore.RecoveredKeys recovered) {
     lock.lock();
--- a/src/main/java/wharftrestle/request/ResultStore.java
+++ b/src/main/java/wharftrestle/request/ResultStore.java
@@ -1,7 +1,6 @@
 package wharftrestle.request;
 
 import java.io.IOException;
-import java.util.List;
 import java.util.Map;
 import wharftrestle.metrics.ResultMetric;
 
@@ -68,7 +67,7 @@
    * @param unknownKeysFailUntilSeconds until then unknown keys fail, as records may be lost; in the
    *     past if none are
    */
-  record RecoveredKeys(List<RecoveredKey> keys, double unknownKeysFailUntilSeconds) {}
+  record RecoveredKeys(Iterable<RecoveredKey> keys, double unknownKeysFailUntilSeconds) {}
 
   /** Receives the position of a record, once, on a thread of the store or within the call. */
   interface WriteListener {
--- a/src/main/java/wharftrestle/storage/Compaction.java
+++ b/src/main/java/wharftrestle/storage/Compaction.java
@@ -3,9 +3,9 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
+import java.util.Collection;
+import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
 import wharftrestle.time.SteadyWallClock;
 
 /**
@@ -35,9 +35,6 @@
     bootId = store.bootId();
   }
 
-  /** The location of the last record of a key that has not expired. */
-  private record LiveRecord(RecordLocation location, int size, boolean sameBoot) {}
-
   /**
    * True if more than half of the allowed segments are in use. Each start of a daemon creates a
    * segment, so without compaction repeated starts would use up the space budget.
@@ -55,12 +52,21 @@
    *     be fewer than the old ones
    */
   static boolean run(SegmentStore store, int segmentBytes, int maxSegments) throws IOException {
-    return new Compaction(store, segmentBytes).run(maxSegments);
+    return run(store, findLiveRecords(store), segmentBytes, maxSegments);
+  }
+
+  /**
+   * The same with the live records of the log.
+   *
+   * @param recovery of all segments, without dropped keys
+   */
+  static boolean run(SegmentStore store, Recovery recovery, int segmentBytes, int maxSegments)
+      throws IOException {
+    return new Compaction(store, segmentBytes).run(recovery.keys(), maxSegments);
   }
 
-  private boolean run(int maxSegments) throws IOException {
+  private boolean run(Collection<Recovery.RecoveredKey> live, int maxSegments) throws IOException {
     long[] oldSegments = store.segmentNumbers();
-    List<LiveRecord> live = findLiveRecords(oldSegments);
     int neededSegments = segmentsFor(live);
     if (oldSegments.length + neededSegments > maxSegments || neededSegments >= oldSegments.length) {
       return false;
@@ -73,24 +79,21 @@
     return true;
   }
 
-  /** The last record of each key that has not expired, in the order of the log. */
-  private List<LiveRecord> findLiveRecords(long[] segments) throws IOException {
-    Map<String, LiveRecord> live = new LinkedHashMap<>();
-    Recovery recovery = new Recovery(SteadyWallClock.steadyWallMillis(), monotonicMillis);
-    for (long number : segments) {
+  /** The last record of each key that has not expired. */
+  private static Recovery findLiveRecords(SegmentStore store) throws IOException {
+    long bootId = store.bootId();
+    Recovery recovery =
+        new Recovery(
+            SteadyWallClock.steadyWallMillis(), LogClock.monotonicMillis(), Integer.MAX_VALUE);
+    for (long number : store.segmentNumbers()) {
       boolean sameBoot = isOfBoot(store, number, bootId);
       scan(
           store,
           number,
-          (record, offset) -> {
-            live.remove(record.key());
-            if (recovery.replay(record, offset, sameBoot)) {
-              RecordLocation location = new RecordLocation(number, offset);
-              live.put(record.key(), new LiveRecord(location, record.size(), sameBoot));
-            }
-          });
+          (record, offset) ->
+              recovery.replay(record, RecordLocation.pack(number, offset), sameBoot));
     }
-    return new ArrayList<>(live.values());
+    return recovery;
   }
 
   /** True if the records of a segment were written during the given boot. */
@@ -112,29 +115,33 @@
     }
   }
 
-  private int segmentsFor(List<LiveRecord> live) {
+  private int segmentsFor(Collection<Recovery.RecoveredKey> live) {
     int neededSegments = live.isEmpty() ? 0 : 1;
     int usedBytes = Segment.HEADER_BYTES;
-    for (LiveRecord liveRecord : live) {
-      if (usedBytes + liveRecord.size() > segmentBytes) {
+    for (Recovery.RecoveredKey key : live) {
+      if (usedBytes + key.recordBytes() > segmentBytes) {
         neededSegments++;
         usedBytes = Segment.HEADER_BYTES;
       }
-      usedBytes += liveRecord.size();
+      usedBytes += key.recordBytes();
     }
     return neededSegments;
   }
 
-  private void writeAll(List<LiveRecord> live, long lastOldSegment) throws IOException {
+  private void writeAll(Collection<Recovery.RecoveredKey> live, long lastOldSegment)
+      throws IOException {
     long number = lastOldSegment;
-    for (int i = 0; i < live.size(); i++) {
-      if (newSegments.isEmpty() || freeBytes() < live.get(i).size()) {
+    Iterator<Recovery.RecoveredKey> remaining = live.iterator();
+    Recovery.RecoveredKey next = remaining.hasNext() ? remaining.next() : null;
+    while (next != null) {
+      Recovery.RecoveredKey key = next;
+      next = remaining.hasNext() ? remaining.next() : null;
+      if (newSegments.isEmpty() || freeBytes() < key.recordBytes()) {
         finishSegment();
         beginSegment(++number);
       }
-      int remaining = freeBytes() - live.get(i).size();
-      boolean lastOfBatch = i == live.size() - 1 || remaining < live.get(i + 1).size();
-      copy(live.get(i), lastOfBatch);
+      boolean lastOfBatch = next == null || freeBytes() - key.recordBytes() < next.recordBytes();
+      copy(key, lastOfBatch);
     }
     finishSegment();
   }
@@ -150,13 +157,14 @@
     return segmentBytes - writtenBytes - buffer.position();
   }
 
-  private void copy(LiveRecord live, boolean lastOfBatch) throws IOException {
-    RecordLocation at = live.location();
-    LogRecord record = LogRecord.readAt(store.read(at.segment(), at.offset(), live.size()), 0);
+  private void copy(Recovery.RecoveredKey key, boolean lastOfBatch) throws IOException {
+    RecordLocation at = RecordLocation.unpack(key.recordLocation());
+    LogRecord record =
+        LogRecord.readAt(store.read(at.segment(), at.offset(), key.recordBytes()), 0);
     if (record == null) {
       throw new IOException("expected a record at " + at + ", found none or a corrupt one");
     }
-    if (buffer.remaining() < live.size()) {
+    if (buffer.remaining() < key.recordBytes()) {
       flush();
     }
     // Monotonic times of an earlier boot cannot be compared, so the record ages from now on.
@@ -164,8 +172,8 @@
         .stamped(
             lastOfBatch,
             BATCH,
-            live.sameBoot() ? record.writtenAtMillis() : wallMillis,
-            live.sameBoot() ? record.writtenAtMonotonicMillis() : monotonicMillis)
+            key.sameBoot() ? record.writtenAtMillis() : wallMillis,
+            key.sameBoot() ? record.writtenAtMonotonicMillis() : monotonicMillis)
         .writeTo(buffer);
   }
 
--- a/src/main/java/wharftrestle/storage/LogReader.java
+++ b/src/main/java/wharftrestle/storage/LogReader.java
@@ -29,12 +29,14 @@
    */
   record Contents(Recovery recovery, TreeSet<Long> missingSegments, int batch, boolean damaged) {}
 
-  private LogReader(SegmentStore store, SpaceBudget space, double nowSeconds, int batch) {
+  private LogReader(
+      SegmentStore store, SpaceBudget space, double nowSeconds, int batch, int maxKeys) {
     this.store = store;
     this.space = space;
     this.nowSeconds = nowSeconds;
     this.batch = batch;
-    recovery = new Recovery(SteadyWallClock.steadyWallMillis(), LogClock.monotonicMillis());
+    recovery =
+        new Recovery(SteadyWallClock.steadyWallMillis(), LogClock.monotonicMillis(), maxKeys);
   }
 
   /**
@@ -42,10 +44,12 @@
    *
    * @param nowSeconds current System.nanoTime in seconds
    * @param batch lower limit of the batch number in the result
+   * @param maxKeys maximum number of keys to recover
    */
-  static Contents read(SegmentStore store, SpaceBudget space, double nowSeconds, int batch)
+  static Contents read(
+      SegmentStore store, SpaceBudget space, double nowSeconds, int batch, int maxKeys)
       throws IOException, Segment.ForeignFormatException {
-    return new LogReader(store, space, nowSeconds, batch).read();
+    return new LogReader(store, space, nowSeconds, batch, maxKeys).read();
   }
 
   private Contents read() throws IOException, Segment.ForeignFormatException {
--- a/src/main/java/wharftrestle/storage/Recovery.java
+++ b/src/main/java/wharftrestle/storage/Recovery.java
@@ -1,7 +1,8 @@
 package wharftrestle.storage;
 
+import java.util.Collection;
+import java.util.Collections;
 import java.util.LinkedHashMap;
-import java.util.Map;
 import wharftrestle.idempotency.IdempotencyTable;
 
 /**
@@ -27,25 +28,45 @@
   /**
    * The recovered state of one key.
    *
-   * @param location of its result; -1 if its outcome is unknown
+   * @param recordLocation of its last record
+   * @param recordBytes size of that record
+   * @param sameBoot true if that record was written since the last boot
+   * @param hasResult true if that record has its result; else its outcome is unknown
    */
   public record RecoveredKey(
-      String key, long location, long coveredUntilMillis, int windowMillis, long bodyChecksum) {}
+      String key,
+      long recordLocation,
+      int recordBytes,
+      boolean sameBoot,
+      boolean hasResult,
+      long coveredUntilMillis,
+      int windowMillis,
+      long bodyChecksum) {
 
-  private final Map<String, RecoveredKey> keys = new LinkedHashMap<>();
+    /** Location of its result; -1 if its outcome is unknown. */
+    public long location() {
+      return hasResult ? recordLocation : RecordLocation.NOT_WRITTEN;
+    }
+  }
+
+  private final LinkedHashMap<String, RecoveredKey> keys = new LinkedHashMap<>();
   private final long steadyWallMillis;
   private final long monotonicMillis;
+  private final int maxKeys;
   private int expiredCount;
+  private int droppedCount;
 
   /**
    * Creates a recovery without records.
    *
    * @param steadyWallMillis current time of the clock that stamps attempts, Unix ms
    * @param monotonicMillis current time of the machine's monotonic clock, ms
+   * @param maxKeys keys that memory has space for; beyond that, the oldest are dropped
    */
-  public Recovery(long steadyWallMillis, long monotonicMillis) {
+  public Recovery(long steadyWallMillis, long monotonicMillis, int maxKeys) {
     this.steadyWallMillis = steadyWallMillis;
     this.monotonicMillis = monotonicMillis;
+    this.maxKeys = maxKeys;
   }
 
   /**
@@ -74,10 +95,17 @@
         record.key(),
         new RecoveredKey(
             record.key(),
-            hasResult ? location : RecordLocation.NOT_WRITTEN,
+            location,
+            record.size(),
+            sameBoot,
+            hasResult,
             Math.max(record.coveredUntilMillis(), steadyWallMillis + record.windowMillis()),
             record.windowMillis(),
             record.bodyChecksum()));
+    if (keys.size() > maxKeys) {
+      keys.remove(keys.keySet().iterator().next());
+      droppedCount++;
+    }
     return true;
   }
 
@@ -90,8 +118,13 @@
   }
 
   /** The recovered keys, in the order of their last records. */
-  public Iterable<RecoveredKey> keys() {
-    return keys.values();
+  public Collection<RecoveredKey> keys() {
+    return Collections.unmodifiableCollection(keys.values());
+  }
+
+  /** Forgets all keys, to free their memory. */
+  void clear() {
+    keys.clear();
   }
 
   /** Number of keys with a result. */
@@ -104,6 +137,11 @@
     return keys.size() - knownCount();
   }
 
+  /** Number of records that were dropped for lack of memory, so that their keys are unknown. */
+  public int droppedCount() {
+    return droppedCount;
+  }
+
   /** Number of records that were skipped because they had expired. */
   public int expiredCount() {
     return expiredCount;
--- a/src/main/java/wharftrestle/storage/ResultLogTool.java
+++ b/src/main/java/wharftrestle/storage/ResultLogTool.java
@@ -51,7 +51,8 @@
     Map<String, KeyEntry> entries = new TreeMap<>();
     long bootId = store.bootId();
     long monotonicMillis = LogClock.monotonicMillis();
-    Recovery recovery = new Recovery(SteadyWallClock.steadyWallMillis(), monotonicMillis);
+    Recovery recovery =
+        new Recovery(SteadyWallClock.steadyWallMillis(), monotonicMillis, Integer.MAX_VALUE);
     for (long number : store.segmentNumbers()) {
       boolean sameBoot = Compaction.isOfBoot(store, number, bootId);
       Compaction.scan(
--- a/src/main/java/wharftrestle/storage/WriteAheadLog.java
+++ b/src/main/java/wharftrestle/storage/WriteAheadLog.java
@@ -2,9 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import org.tinylog.Logger;
 import wharftrestle.config.DaemonConfig;
@@ -81,16 +79,22 @@
 
   // ---- Opening and closing ----
 
+  /** Opens the log and recovers as many keys as are configured. */
+  public ResultStore.RecoveredKeys open(double longestWindowSeconds) throws IOException {
+    return open(longestWindowSeconds, settings.keys());
+  }
+
   /**
    * Locks the folder, recovers the records of earlier processes and starts the writer thread.
    *
-   * @param longestWindowSeconds the longest idempotency window; if the log is damaged, unknown keys
-   *     fail for this long
+   * @param longestWindowSeconds the longest idempotency window; if the log is damaged or has too
+   *     many keys, unknown keys fail for this long
+   * @param maxKeys keys that memory has space for
    * @return the recovered keys, in the order of their last records
    * @throws UnusableStorageException if another process holds the folder's lock, the format is
    *     foreign or newer, or the folder cannot be read or written; the message is one line
    */
-  public synchronized ResultStore.RecoveredKeys open(double longestWindowSeconds)
+  public synchronized ResultStore.RecoveredKeys open(double longestWindowSeconds, int maxKeys)
       throws IOException {
     if (writer != null) {
       throw new IllegalStateException("expected a closed write-ahead log, found " + state());
@@ -98,7 +102,7 @@
     long startNanos = System.nanoTime();
     SegmentStore opened = opener.open();
     try {
-      ResultStore.RecoveredKeys recovered = recoverAndStart(opened, longestWindowSeconds);
+      ResultStore.RecoveredKeys recovered = recoverAndStart(opened, longestWindowSeconds, maxKeys);
       metrics.recordRecoveryTime(System.nanoTime() - startNanos);
       return recovered;
     } catch (UnusableStorageException e) {
@@ -111,28 +115,31 @@
   }
 
   private ResultStore.RecoveredKeys recoverAndStart(
-      SegmentStore opened, double longestWindowSeconds) throws IOException {
+      SegmentStore opened, double longestWindowSeconds, int maxKeys) throws IOException {
     synchronized (space) {
       reservedIntentBytes.clear();
     }
     double nowSeconds = LogClock.seconds();
-    LogReader.Contents contents = read(opened, nowSeconds, 0);
+    LogReader.Contents contents = read(opened, nowSeconds, 0, maxKeys);
+    Recovery recovery = contents.recovery();
     // Each start creates a segment, so repeated restarts would otherwise use up the space budget.
     if (!contents.damaged()
+        && recovery.droppedCount() == 0
         && Compaction.isWorthwhile(space)
-        && Compaction.run(opened, space.segmentBytes(), space.maxSegments())) {
+        && Compaction.run(opened, recovery, space.segmentBytes(), space.maxSegments())) {
+      recovery.clear(); // so that memory never has all keys twice
       nowSeconds = LogClock.seconds();
-      contents = read(opened, nowSeconds, contents.batch());
+      contents = read(opened, nowSeconds, contents.batch(), maxKeys);
     }
     ResultStore.RecoveredKeys recovered = recoveredKeys(contents, nowSeconds, longestWindowSeconds);
     startWriter(opened, contents, nowSeconds + longestWindowSeconds + Recovery.LINGER_SECONDS);
     return recovered;
   }
 
-  private LogReader.Contents read(SegmentStore opened, double nowSeconds, int batch)
+  private LogReader.Contents read(SegmentStore opened, double nowSeconds, int batch, int maxKeys)
       throws IOException {
     try {
-      return LogReader.read(opened, space, nowSeconds, batch);
+      return LogReader.read(opened, space, nowSeconds, batch, maxKeys);
     } catch (Segment.ForeignFormatException e) {
       throw new UnusableStorageException(settings.folder() + ": " + e.getMessage(), e);
     }
@@ -141,6 +148,25 @@
   private ResultStore.RecoveredKeys recoveredKeys(
       LogReader.Contents contents, double nowSeconds, double longestWindowSeconds) {
     Recovery recovery = contents.recovery();
+    logRecovery(contents, longestWindowSeconds);
+    boolean mayLackKeys = contents.damaged() || recovery.droppedCount() > 0;
+    return new ResultStore.RecoveredKeys(
+        () -> recovery.keys().stream().map(key -> recoveredKey(key, nowSeconds)).iterator(),
+        mayLackKeys ? nowSeconds + longestWindowSeconds : Double.NEGATIVE_INFINITY);
+  }
+
+  private static ResultStore.RecoveredKey recoveredKey(
+      Recovery.RecoveredKey key, double nowSeconds) {
+    return new ResultStore.RecoveredKey(
+        key.key(),
+        key.location(),
+        key.coveredUntilMillis(),
+        Recovery.expiresAtSeconds(key, nowSeconds),
+        key.bodyChecksum());
+  }
+
+  private void logRecovery(LogReader.Contents contents, double longestWindowSeconds) {
+    Recovery recovery = contents.recovery();
     metrics.recordRecovery(recovery.knownCount(), recovery.unknownCount(), contents.damaged());
     if (contents.damaged()) {
       Logger.error(
@@ -149,24 +175,19 @@
           settings.folder(),
           (long) Math.ceil(longestWindowSeconds));
     }
+    if (recovery.droppedCount() > 0) {
+      Logger.error(
+          "write-ahead log has more keys than memory has space for; requests whose key was not"
+              + " recovered fail for a time records_dropped={} seconds={}",
+          recovery.droppedCount(),
+          (long) Math.ceil(longestWindowSeconds));
+    }
     Logger.info(
         "write-ahead log recovered results={} outcomes_unknown={} expired={}; retries of requests with"
             + " an unknown result fail until their idempotency window ends",
         recovery.knownCount(),
         recovery.unknownCount(),
         recovery.expiredCount());
-    List<ResultStore.RecoveredKey> keys = new ArrayList<>();
-    for (Recovery.RecoveredKey key : recovery.keys()) {
-      keys.add(
-          new ResultStore.RecoveredKey(
-              key.key(),
-              key.location(),
-              key.coveredUntilMillis(),
-              Recovery.expiresAtSeconds(key, nowSeconds),
-              key.bodyChecksum()));
-    }
-    return new ResultStore.RecoveredKeys(
-        keys, contents.damaged() ? nowSeconds + longestWindowSeconds : Double.NEGATIVE_INFINITY);
   }
 
   private void startWriter(
--- a/src/test/java/wharftrestle/prove/StoredResultsStartTest.java
+++ b/src/test/java/wharftrestle/prove/StoredResultsStartTest.java
@@ -13,6 +13,9 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import wharftrestle.config.DaemonConfig;
+import wharftrestle.request.ResultStore;
+import wharftrestle.storage.WriteAheadLog;
 import wharftrestle.testbed.DaemonProcess;
 import wharftrestle.testbed.HostTestbed;
 import wharftrestle.testbed.TestClient;
@@ -30,6 +33,12 @@
   /** More starts than half of the allowed segments, so that one of them compacts the log. */
   private static final int STARTS_UNTIL_COMPACTION = 10;
 
+  private static final double WINDOW_SECONDS = 60;
+
+  /** With a number behind it, the longest key of the platform's protocol. */
+  private static final String LONG_PREFIX =
+      "a-key-of-64-characters-a-key-of-64-characters-a-key-of-64-";
+
   @TempDir private Path folder;
 
   private int references;
@@ -146,6 +155,47 @@
     }
   }
 
+  /**
+   * Keys that expired before a reboot count as live after it, so a log may have more keys than the
+   * daemon ever had at once.
+   */
+  @ParameterizedTest(name = "memory_mb {0}, {1} keys beginning with {2}")
+  @CsvSource({"64, 150000, key", "52, 60000, " + LONG_PREFIX})
+  void startWithMoreKeysThanMemoryHasSpaceFor_servesAndExecutesNoKeyTwice(
+      int memoryMb, int keys, String prefix) throws Exception {
+    writeKeys(folder.resolve("results"), keys, prefix);
+    try (HostTestbed testbed = newTestbed(memoryMb, ", max_mb = 128")) {
+      testbed.start();
+
+      try (TestClient client = new TestClient(testbed.address())) {
+        assertEquals("done", client.ask("read", 1, null, "no key").word());
+        assertEquals("error", client.ask("save", 2, prefix + 0, "body").word(), "dropped key");
+        assertEquals(
+            "error", client.ask("save", 3, prefix + (keys - 1), "body").word(), "kept key");
+      }
+      assertEquals(0, testbed.executions("body"));
+      assertTrue(figure(testbed.daemon(), "recovered_unknown") > 1000);
+    }
+  }
+
+  /** Writes keys of the class "save" whose executions failed. */
+  private static void writeKeys(Path results, int count, String prefix) throws Exception {
+    DaemonConfig.Durable settings =
+        new DaemonConfig.Durable(results, 128L << 20, count, 1 << 20, 5, "none");
+    try (WriteAheadLog log = new WriteAheadLog(settings)) {
+      log.open(WINDOW_SECONDS);
+      for (int i = 0; i < count; i++) {
+        ResultStore.KeyRecord key =
+            new ResultStore.KeyRecord(
+                "1/0/" + prefix + i, System.currentTimeMillis() + 60_000, WINDOW_SECONDS, i);
+        while (log.writeIntent(key, location -> {}) == null) {
+          Thread.sleep(1); // until the writer has caught up
+        }
+        log.writeResult(key, null, location -> {});
+      }
+    }
+  }
+
   private static long figure(DaemonProcess daemon, String name) throws IOException {
     return daemon
         .get("/_results")
--- a/src/test/java/wharftrestle/storage/ResultLogToolTest.java
+++ b/src/test/java/wharftrestle/storage/ResultLogToolTest.java
@@ -14,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -120,9 +121,10 @@
     outputOf((results, out) -> results.compact(out));
     assertFalse((boolean) returnValue, "a second compaction saves no segment");
     try (WriteAheadLog next = new WriteAheadLog(settings())) {
-      ResultStore.RecoveredKeys recovered = next.open(20);
-      assertEquals(3, recovered.keys().size());
-      assertArrayEquals(RESULT, next.readResult("2/0/first", recovered.keys().get(0).position()));
+      List<ResultStore.RecoveredKey> keys = new ArrayList<>();
+      next.open(20).keys().forEach(keys::add);
+      assertEquals(3, keys.size());
+      assertArrayEquals(RESULT, next.readResult("2/0/first", keys.get(0).position()));
     }
   }
 
--- a/src/test/java/wharftrestle/storage/WriteAheadLogTest.java
+++ b/src/test/java/wharftrestle/storage/WriteAheadLogTest.java
@@ -315,7 +315,7 @@
 
   private static void assertRecovers(
       byte[] bytes, Map<String, LogRecord> model, boolean damaged, int cut) throws Exception {
-    Recovery recovery = new Recovery(System.currentTimeMillis(), 1000);
+    Recovery recovery = new Recovery(System.currentTimeMillis(), 1000, Integer.MAX_VALUE);
     Segment.ScanResult scan =
         SegmentBytes.scan(bytes, (record, at) -> recovery.replay(record, at, true));
     assertEquals(
@@ -353,6 +353,31 @@
     SegmentBytes.scan(bytes, (record, at) -> assertNotNull(record.key()));
   }
 
+  /** Guards against a start that needs more memory than there is, and against a forgotten key. */
+  @Example
+  void open_withMoreKeysThanMemoryAllows_keepsTheNewestAndFailsUnknownKeys() throws Exception {
+    MemorySegmentStore disk = new MemorySegmentStore();
+    try (WriteAheadLog log = new WriteAheadLog(settings(4, "group"), () -> disk)) {
+      log.open(WINDOW_SECONDS);
+      for (int i = 0; i < 5; i++) {
+        assertTrue(writeKey(log, "2/0/k" + i, result(i)) >= 0);
+      }
+    }
+
+    try (WriteAheadLog next = new WriteAheadLog(settings(4, "group"), disk::afterKill)) {
+      ResultStore.RecoveredKeys recovered = next.open(WINDOW_SECONDS, 3);
+
+      assertEquals(Set.of("2/0/k2", "2/0/k3", "2/0/k4"), recoveredByKey(recovered).keySet());
+      assertTrue(unknownKeysFail(recovered));
+    }
+    try (WriteAheadLog next = new WriteAheadLog(settings(4, "group"), disk::afterKill)) {
+      ResultStore.RecoveredKeys recovered = next.open(WINDOW_SECONDS, 5);
+
+      assertEquals(5, recoveredByKey(recovered).size());
+      assertFalse(unknownKeysFail(recovered));
+    }
+  }
+
   /** Guards against a scan whose result depends on where its windows end. */
   @Property(tries = 60, seed = "29421")
   void scan_inWindowsOfAnySize_equalsScanInOnePiece(
@@ -694,7 +719,7 @@
   @Example
   void recovery_skipsRecordsExpiredByMonotonicClockUnlessOfEarlierBoot() {
     long now = 1_000_000;
-    Recovery recovery = new Recovery(System.currentTimeMillis(), now);
+    Recovery recovery = new Recovery(System.currentTimeMillis(), now, Integer.MAX_VALUE);
     LogRecord expired =
         new LogRecord(
             LogRecord.Kind.RESULT, true, 1, 0, now - 31_000, 1, 20_000, 5, "2/0/old", new byte[1]);
