End a process that lacks memory with one line, in place of one that serves nobody

Cause: the worker pool link is made again after any error, which is right for a short lack of memory and endless for a lasting one. The configuration was read in one piece of any length.

Change: if for 5 s no link to the worker pool could be made for lack of memory, the process drains and ends with one line and exit code 1, so that whoever started it can start it again. A lack of memory at the start is one line too. Configurations are at most 1 MB long, at a start, a reload and while the file is watched; settings scripts had a bound and are read in bounded transfers now.

--- a/src/main/java/wharftrestle/Main.java
+++ b/src/main/java/wharftrestle/Main.java
@@ -49,7 +49,16 @@
     }
     commandLine.setParameterExceptionHandler((e, arguments) -> reportUsageError(e.getMessage()));
     commandLine.setExecutionExceptionHandler((e, command, parsed) -> onException(e));
-    System.exit(commandLine.execute(args));
+    System.exit(execute(commandLine, args));
+  }
+
+  private static int execute(CommandLine commandLine, String... args) {
+    try {
+      return commandLine.execute(args);
+    } catch (OutOfMemoryError e) {
+      System.err.println("wharftrestle: out of memory: " + e.getMessage());
+      return CommandLine.ExitCode.SOFTWARE;
+    }
   }
 
   private static void addOperatorCommands(CommandLine commandLine) {
--- a/src/main/java/wharftrestle/cli/ServeCommand.java
+++ b/src/main/java/wharftrestle/cli/ServeCommand.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.Callable;
 import org.tinylog.Logger;
 import org.tinylog.provider.ProviderRegistry;
+import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import wharftrestle.config.DaemonConfig;
@@ -35,7 +36,12 @@
     daemon.serveUntilStopped();
     Logger.info("counters at exit:\n{}", daemon.counters().table());
     ProviderRegistry.getLoggingProvider().shutdown();
-    return 0;
+    if (daemon.hasFailed()) {
+      System.err.println(
+          "wharftrestle: out of memory: no link to the worker pool could be made; the process ended");
+      return CommandLine.ExitCode.SOFTWARE;
+    }
+    return CommandLine.ExitCode.OK;
   }
 
   private static DaemonConfig readConfig() throws DaemonConfig.BadConfigException {
--- a/src/main/java/wharftrestle/config/DaemonConfig.java
+++ b/src/main/java/wharftrestle/config/DaemonConfig.java
@@ -5,11 +5,11 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
 import wharftrestle.admission.Admission;
 import wharftrestle.admission.AdmissionSettings;
+import wharftrestle.io.BoundedTransfers;
 import wharftrestle.simulator.MalformedLineException;
 import wharftrestle.simulator.SettingsReader;
 import wharftrestle.transport.Address;
@@ -45,6 +45,9 @@
     }
   }
 
+  /** Longest configuration file; one with thousands of tenants is shorter. */
+  private static final int MAX_FILE_BYTES = 1 << 20;
+
   /** Default of the kB reserved for a uwsgi request in flight. */
   public static final double HELD_KB = 24;
 
@@ -189,6 +192,15 @@
     }
   }
 
+  /**
+   * Reads the bytes of a configuration file.
+   *
+   * @throws wharftrestle.io.FileTooLargeException if it is longer than any configuration
+   */
+  public static byte[] readFile(Path file) throws IOException {
+    return BoundedTransfers.readFile(file, MAX_FILE_BYTES);
+  }
+
   public static DaemonConfig read(Map<String, String> environment) throws BadConfigException {
     String file = environment.get("EDGE_CONFIG");
     if (file == null || file.isEmpty()) {
@@ -196,7 +208,7 @@
     }
     JsonNode root;
     try {
-      root = new ObjectMapper().readTree(Files.readAllBytes(Path.of(file)));
+      root = new ObjectMapper().readTree(readFile(Path.of(file)));
     } catch (JsonProcessingException e) {
       throw new BadConfigException("the configuration is no JSON: " + e.getOriginalMessage());
     } catch (IOException e) {
--- a/src/main/java/wharftrestle/daemon/ConfigWatcher.java
+++ b/src/main/java/wharftrestle/daemon/ConfigWatcher.java
@@ -1,12 +1,14 @@
 package wharftrestle.daemon;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.concurrent.locks.LockSupport;
 import org.tinylog.Logger;
+import wharftrestle.config.DaemonConfig;
+import wharftrestle.io.FileTooLargeException;
 import wharftrestle.request.PlatformThreads;
+import wharftrestle.transport.BoundedReader;
 
 /**
  * Polls the configuration file on a separate thread, if SIGHUP is ignored, and notifies a listener
@@ -49,7 +51,10 @@
 
   private byte[] read() {
     try {
-      return Files.readAllBytes(file);
+      return DaemonConfig.readFile(file);
+    } catch (FileTooLargeException e) {
+      // Counts as a change, so that the listener reads the file and reports why it cannot be used.
+      return BoundedReader.ascii(e.getMessage());
     } catch (IOException e) {
       Logger.debug("cannot read the configuration file error={}", e.toString());
       return UNREADABLE;
--- a/src/main/java/wharftrestle/daemon/Lifecycle.java
+++ b/src/main/java/wharftrestle/daemon/Lifecycle.java
@@ -68,6 +68,7 @@
   private final OperatorEndpoints operators;
   private final GracefulShutdown shutdown;
   private final ConfigReload configReload;
+  private volatile boolean hasFailed;
 
   /**
    * Assembles a daemon and binds its addresses. If another process of this host serves already, the
@@ -107,9 +108,16 @@
     operators = new OperatorEndpoints(parts, appliance, admin);
     shutdown = new GracefulShutdown(parts, state, handover);
     configReload = new ConfigReload(parts);
+    parts.workerPool().onMemoryExhausted(this::failForLackOfMemory);
     bind();
   }
 
+  /** Ends a process that cannot serve, so that it can be started again. */
+  private void failForLackOfMemory() {
+    hasFailed = true;
+    shutdown.request();
+  }
+
   private void bind() throws IOException {
     boolean isStandby = handover.isStandby();
     if (!isStandby) {
@@ -174,6 +182,11 @@
     shutdown.awaitRequestAndDrain();
   }
 
+  /** True if the process ends because memory did not suffice to serve. */
+  public boolean hasFailed() {
+    return hasFailed;
+  }
+
   /** Releases all addresses and closes open connections at once. */
   @Override
   public void close() {
--- a/src/main/java/wharftrestle/settings/Settings.java
+++ b/src/main/java/wharftrestle/settings/Settings.java
@@ -2,20 +2,23 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
-import java.nio.file.Files;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
 import wharftrestle.config.DaemonConfig;
+import wharftrestle.io.BoundedTransfers;
+import wharftrestle.io.FileTooLargeException;
 
 /**
  * The validated settings of a script: the value and the origin of each field. Every value has
  * passed the {@link Schema}; required fields have no default.
  */
 public final class Settings {
-  private static final long MAX_SCRIPT_BYTES = 256 * 1024;
+  private static final int MAX_SCRIPT_BYTES = 256 * 1024;
 
   /** A value with its origin: FILE:LINE:COLUMN, or "default". */
   public record Value(Object value, String origin) {}
@@ -43,10 +46,10 @@
     }
     String text;
     try {
-      if (Files.size(file) > MAX_SCRIPT_BYTES) {
-        throw new BadSettingsException(file + ": longer than " + MAX_SCRIPT_BYTES + " bytes");
-      }
-      text = Files.readString(file);
+      byte[] bytes = BoundedTransfers.readFile(file, MAX_SCRIPT_BYTES);
+      text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
+    } catch (FileTooLargeException e) {
+      throw new BadSettingsException(file + ": longer than " + MAX_SCRIPT_BYTES + " bytes");
     } catch (CharacterCodingException e) {
       throw new BadSettingsException(file + ": is not UTF-8 text");
     } catch (IOException e) {
--- a/src/main/java/wharftrestle/testbed/HostTestbed.java
+++ b/src/main/java/wharftrestle/testbed/HostTestbed.java
@@ -100,6 +100,7 @@
   public record Version(Path jar, String main, Settings settings, String script) {}
 
   private volatile FakeWorkerPool pool;
+  private final Map<String, String> environmentOverrides = new HashMap<>();
   private RunScript runScript; // null unless daemons are started by it
   private String shellPrefix = "";
   private double coreLimit = 1;
@@ -186,6 +187,11 @@
     runScript = new RunScript(Files.createDirectories(folder.resolve("deployed")));
   }
 
+  /** Sets an environment variable of the daemons that are started from now on. */
+  public void setEnvironment(String name, String value) {
+    environmentOverrides.put(name, value);
+  }
+
   /** Closes the fake name service permanently. */
   public void closeNameService() {
     nameServiceSocket.close();
@@ -387,6 +393,7 @@
     if (runScript != null) {
       environment.put("PATH", runScript.searchPath());
     }
+    environment.putAll(environmentOverrides);
     return environment;
   }
 
--- a/src/main/java/wharftrestle/upstream/WorkerPoolClient.java
+++ b/src/main/java/wharftrestle/upstream/WorkerPoolClient.java
@@ -42,6 +42,9 @@
    */
   private static final double RESTART_MARGIN_SECONDS = 1;
 
+  /** Nanoseconds for which the link may fail for lack of memory before the client gives up. */
+  private static final long MAX_OUT_OF_MEMORY_NANOS = 5_000_000_000L;
+
   private volatile InetSocketAddress address;
   private final RequestCoordinator coordinator;
   private final Counters counters;
@@ -56,6 +59,8 @@
   private boolean hasBoundBefore;
   private boolean isOutageLogged; // one line for each outage
   private long bindCount;
+  private Runnable memoryExhaustedListener = () -> {};
+  private volatile long firstOutOfMemoryNanos; // since the last bind; 0 if there was none
 
   /** Creates a client that is not started. */
   public WorkerPoolClient(
@@ -65,6 +70,14 @@
     this.counters = counters;
   }
 
+  /**
+   * Sets the listener that is notified if for {@link #MAX_OUT_OF_MEMORY_NANOS} no link could be
+   * established for lack of memory. Called before {@link #start}.
+   */
+  public void onMemoryExhausted(Runnable listener) {
+    memoryExhaustedListener = listener;
+  }
+
   /** Starts the thread that establishes the link and reads announcements. */
   public void start() {
     PlatformThreads.restartingThread("pool-link", this::runLink).start();
@@ -102,6 +115,9 @@
         if (e instanceof Server.MalformedException) {
           counters.add(Count.MALFORMED);
         }
+        if (e instanceof OutOfMemoryError) {
+          recordOutOfMemory(System.nanoTime());
+        }
       }
       try {
         if (System.nanoTime() - startedNanos < MIN_LINK_NANOS) {
@@ -113,6 +129,14 @@
     }
   }
 
+  private void recordOutOfMemory(long now) {
+    if (firstOutOfMemoryNanos == 0) {
+      firstOutOfMemoryNanos = now;
+    } else if (now - firstOutOfMemoryNanos > MAX_OUT_OF_MEMORY_NANOS) {
+      memoryExhaustedListener.run();
+    }
+  }
+
   /** Connects, binds and reads announcements until the link ends, which it reports by throwing. */
   private void runOneLink() throws IOException {
     try (Socket newSocket = new Socket()) {
@@ -182,6 +206,7 @@
       }
       current.socket().setSoTimeout(SILENCE_TIMEOUT_MS);
       current.markBound();
+      firstOutOfMemoryNanos = 0;
       coordinator.workerPoolStarted(isCold, secondsAgo);
       if (hasBoundBefore) {
         current.enqueueLine("poll " + barrierTag);
