Compute decisions with StrictMath, so that all processors agree in the last digit

Cause: Math.exp, log and pow may be computed by the processor's own approximation, whose last digits differ. TenantQuota and StallDetector use exp.

Change: admission, rollout and simulation use StrictMath, which is defined to the last digit. A rule of BordersTest forbids the functions of Math that are not, in all decision packages; it fails on the code before.

--- a/src/main/java/wharftrestle/admission/StallDetector.java
+++ b/src/main/java/wharftrestle/admission/StallDetector.java
@@ -19,7 +19,7 @@
     stallSeconds =
         Math.max(
             latenessSeconds - TIMER_TOLERANCE_SECONDS,
-            stallSeconds * Math.exp((measuredAt - now) / DECAY_SECONDS));
+            stallSeconds * StrictMath.exp((measuredAt - now) / DECAY_SECONDS));
     measuredAt = now;
   }
 
--- a/src/main/java/wharftrestle/admission/TenantQuota.java
+++ b/src/main/java/wharftrestle/admission/TenantQuota.java
@@ -31,7 +31,7 @@
     int tenant = request.tenantIndex();
     if (tenant < rates.length && !request.retry()) {
       rates[tenant] =
-          rates[tenant] * Math.exp((lastArrivals[tenant] - now) / RATE_SPAN_SECONDS)
+          rates[tenant] * StrictMath.exp((lastArrivals[tenant] - now) / RATE_SPAN_SECONDS)
               + 1 / RATE_SPAN_SECONDS;
       lastArrivals[tenant] = now;
     }
--- a/src/main/java/wharftrestle/rollout/ConfidenceSequence.java
+++ b/src/main/java/wharftrestle/rollout/ConfidenceSequence.java
@@ -74,8 +74,8 @@
    * values, for the error probability {@code error}.
    */
   private static double mixtureVariance(double error, double atValues) {
-    double logError = -2 * Math.log(error);
-    return (logError + Math.log(logError) + 1) / atValues;
+    double logError = -2 * StrictMath.log(error);
+    return (logError + StrictMath.log(logError) + 1) / atValues;
   }
 
   /**
@@ -100,6 +100,6 @@
             * 2
             * scale
             / (count * count * mixingVariance)
-            * Math.log(Math.sqrt(scale) / twoSidedError));
+            * StrictMath.log(Math.sqrt(scale) / twoSidedError));
   }
 }
--- a/src/main/java/wharftrestle/rollout/MetricSeries.java
+++ b/src/main/java/wharftrestle/rollout/MetricSeries.java
@@ -107,7 +107,7 @@
       return Double.POSITIVE_INFINITY;
     }
     // The error of the baseline does not shrink as losses are added.
-    double squaredBaselineWidth = -2 * Math.log(errorProbability) * baselineVariance;
+    double squaredBaselineWidth = -2 * StrictMath.log(errorProbability) * baselineVariance;
     double lossesHalfWidth = losses.halfWidth(errorProbability);
     return Math.sqrt(lossesHalfWidth * lossesHalfWidth + squaredBaselineWidth);
   }
@@ -137,7 +137,7 @@
 
   /** True if so few requests could by chance show no loss although the loss is at the limit. */
   private boolean hasTooFewRequests() {
-    return metric().isFraction() && requests * limit < -Math.log(errorProbability);
+    return metric().isFraction() && requests * limit < -StrictMath.log(errorProbability);
   }
 
   /** Why the loss is not known to be within the limit yet. */
--- a/src/main/java/wharftrestle/rollout/ReleaseFaults.java
+++ b/src/main/java/wharftrestle/rollout/ReleaseFaults.java
@@ -69,7 +69,7 @@
     int totalDeaths = newDeaths + oldDeaths;
     double newFraction =
         Math.min(MAX_NEW_FRACTION, newHostWindows / (newHostWindows + oldHostWindows));
-    double term = Math.pow(newFraction, totalDeaths); // all deaths on the new release
+    double term = StrictMath.pow(newFraction, totalDeaths); // all deaths on the new release
     double tail = 0;
     for (int i = totalDeaths; i >= newDeaths; i--) {
       tail += term;
--- a/src/main/java/wharftrestle/simulation/ColdStartSimulation.java
+++ b/src/main/java/wharftrestle/simulation/ColdStartSimulation.java
@@ -96,7 +96,7 @@
       int classes,
       double meanWorkSeconds) {
     eventQueue.schedule(
-        eventQueue.now() - Math.log(1 - random.nextDouble()) / REQUESTS_PER_SECOND,
+        eventQueue.now() - StrictMath.log(1 - random.nextDouble()) / REQUESTS_PER_SECOND,
         now -> {
           host.send(
               random.nextInt(classes),
--- a/src/main/java/wharftrestle/simulation/ColdTrafficSimulation.java
+++ b/src/main/java/wharftrestle/simulation/ColdTrafficSimulation.java
@@ -189,7 +189,7 @@
       SplittableRandom random,
       double meanWorkSeconds) {
     eventQueue.schedule(
-        eventQueue.now() - Math.log(1 - random.nextDouble()) / REQUESTS_PER_SECOND,
+        eventQueue.now() - StrictMath.log(1 - random.nextDouble()) / REQUESTS_PER_SECOND,
         now -> {
           if (history.shouldSend(now, settings, random)) {
             host.send(
--- a/src/main/java/wharftrestle/simulation/SimulatedFleet.java
+++ b/src/main/java/wharftrestle/simulation/SimulatedFleet.java
@@ -124,7 +124,7 @@
   private void scheduleArrival(double now) {
     eventQueue.schedule(
         now
-            - Math.log(1 - random.nextDouble())
+            - StrictMath.log(1 - random.nextDouble())
                 / (site.requestsPerSecond() * site.hosts() * loadFactor),
         this::scheduleArrival);
     double draw = random.nextDouble();
--- a/src/main/java/wharftrestle/simulation/SimulatedHost.java
+++ b/src/main/java/wharftrestle/simulation/SimulatedHost.java
@@ -258,7 +258,7 @@
   double memoryMb(double now) {
     double age = now - startedAt;
     double visibleSeconds = Math.max(0, age - defects.visibleAfterSeconds());
-    return BASE_MB * (1 - Math.exp(-age / 20))
+    return BASE_MB * (1 - StrictMath.exp(-age / 20))
         + defects.leakMbPerMinute() * visibleSeconds / 60
         + random.nextDouble();
   }
@@ -364,7 +364,7 @@
       }
       double usedCores = Math.min(runningRequests.size(), settings.capacity().cores());
       tally.cpu += elapsed * usedCores;
-      double decay = Math.exp(-elapsed / BUSY_GAUGE_SECONDS);
+      double decay = StrictMath.exp(-elapsed / BUSY_GAUGE_SECONDS);
       cpuBusy = cpuBusy * decay + usedCores / settings.capacity().cores() * (1 - decay);
     }
     lastAdvancedAt = now;
--- a/src/main/java/wharftrestle/simulation/SimulatedStore.java
+++ b/src/main/java/wharftrestle/simulation/SimulatedStore.java
@@ -37,7 +37,7 @@
 
   /** Starts a call that the caller gives up at {@code deadline}; 0 for no deadline. */
   void call(double now, SplittableRandom random, CallListener listener, double deadline) {
-    double duration = -Math.log(1 - random.nextDouble()) * MEAN_CALL_SECONDS * slowdown;
+    double duration = -StrictMath.log(1 - random.nextDouble()) * MEAN_CALL_SECONDS * slowdown;
     boolean succeeded = deadline <= 0 || now + duration <= deadline;
     inFlight++;
     eventQueue.schedule(
--- a/src/test/java/wharftrestle/BordersTest.java
+++ b/src/test/java/wharftrestle/BordersTest.java
@@ -1,5 +1,6 @@
 package wharftrestle;
 
+import static com.tngtech.archunit.base.DescribedPredicate.describe;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noMethods;
 
@@ -13,6 +14,9 @@
 /** Architecture rules: code that decides does not depend on sockets, files, threads or clocks. */
 @AnalyzeClasses(packages = "wharftrestle", importOptions = ImportOption.DoNotIncludeTests.class)
 class BordersTest {
+  private static final String PROCESSOR_DEPENDENT_FUNCTIONS =
+      "exp|expm1|log|log10|log1p|pow|sin|cos|tan|asin|acos|atan|atan2|sinh|cosh|tanh|cbrt|hypot";
+
   private static final String[] DECISION_PACKAGES = {
     "wharftrestle.admission..",
     "wharftrestle.idempotency..",
@@ -37,6 +41,20 @@
               "java.util.concurrent..",
               "org.tinylog..");
 
+  /** The last digit of these functions of Math depends on the processor, so decisions would too. */
+  @ArchTest
+  static final ArchRule decisionPackagesComputeAlikeOnAllProcessors =
+      noClasses()
+          .that()
+          .resideInAnyPackage(DECISION_PACKAGES)
+          .should()
+          .callMethodWhere(
+              describe(
+                  "a function of Math whose last digit depends on the processor",
+                  call ->
+                      call.getTargetOwner().isEquivalentTo(Math.class)
+                          && call.getName().matches(PROCESSOR_DEPENDENT_FUNCTIONS)));
+
   @ArchTest
   static final ArchRule decisionPackagesReadNoClock =
       noClasses()
