Run no stored key again where classes or tenants have other positions

Cause: a stored key begins with the positions of its class and tenant in the settings, and the folder did not say which names these had. An upgrade compares them, a plain restart did not.

Change: the folder has the names of all positions. Where those of the configuration disagree, the stored keys are dropped, one line says so, and unknown keys fail for one window. The segments stay in the manifest as missing, so a further start fails unknown keys too. Names removed at the end keep their positions; a folder without names is read as before. BordersTest lists the new class KeyPositionCheck among those of its package that use files, as LogReader is.

Not done: duplicates of dropped keys fail, in place of getting their first answer.

--- a/src/main/java/wharftrestle/daemon/StoredResults.java
+++ b/src/main/java/wharftrestle/daemon/StoredResults.java
@@ -4,8 +4,10 @@
 import java.nio.file.Path;
 import java.util.concurrent.locks.LockSupport;
 import org.tinylog.Logger;
+import wharftrestle.admission.Admission;
 import wharftrestle.config.DaemonConfig;
 import wharftrestle.request.RequestCoordinator;
+import wharftrestle.storage.KeyNames;
 import wharftrestle.storage.WriteAheadLog;
 
 /**
@@ -22,6 +24,7 @@
   private final Path directory;
   private final RequestCoordinator requests;
   private final double longestWindowSeconds;
+  private final KeyNames names;
 
   /**
    * Does not open the log.
@@ -34,6 +37,10 @@
     directory = settings == null ? null : settings.folder().toAbsolutePath().normalize();
     this.requests = requests;
     this.longestWindowSeconds = longestWindowSeconds;
+    names =
+        new KeyNames(
+            requests.settings().classes().stream().map(Admission.RequestClass::name).toList(),
+            requests.settings().tenants().stream().map(Admission.Tenant::name).toList());
     if (log != null) {
       requests.useResultStore(log);
     }
@@ -55,7 +62,7 @@
    */
   void open() throws IOException {
     if (log != null) {
-      requests.restore(log.open(longestWindowSeconds, requests.maxKeys()));
+      requests.restore(log.open(longestWindowSeconds, requests.maxKeys(), names));
     }
   }
 
--- a/src/main/java/wharftrestle/storage/FileSegmentStore.java
+++ b/src/main/java/wharftrestle/storage/FileSegmentStore.java
@@ -31,7 +31,8 @@
   private static final String PREFIX = "results-";
   private static final String SUFFIX = ".log";
   private static final String MANIFEST = "list";
-  private static final int MAX_MANIFEST_BYTES = 1 << 20;
+  private static final String NAMES = "names";
+  private static final int MAX_LIST_BYTES = 1 << 20;
   private static final long UNKNOWN_BOOT = 0;
 
   private final Path folder;
@@ -89,27 +90,46 @@
 
   @Override
   public byte[] readManifest() throws IOException {
+    return readList(MANIFEST);
+  }
+
+  @Override
+  public void writeManifest(byte[] manifest) throws IOException {
+    replaceList(MANIFEST, manifest);
+  }
+
+  @Override
+  public byte[] readNames() throws IOException {
+    return readList(NAMES);
+  }
+
+  @Override
+  public void writeNames(byte[] names) throws IOException {
+    replaceList(NAMES, names);
+  }
+
+  /** Reads a file that is no segment; null if there is none. */
+  private byte[] readList(String name) throws IOException {
     try {
-      return BoundedTransfers.readFile(folder.resolve(MANIFEST), MAX_MANIFEST_BYTES);
+      return BoundedTransfers.readFile(folder.resolve(name), MAX_LIST_BYTES);
     } catch (NoSuchFileException e) {
       return null;
     }
   }
 
-  @Override
-  public void writeManifest(byte[] manifest) throws IOException {
-    Path fresh = folder.resolve("list.new");
+  private void replaceList(String name, byte[] content) throws IOException {
+    Path fresh = folder.resolve(name + ".new");
     try (FileChannel file =
         FileChannel.open(
             fresh,
             StandardOpenOption.CREATE,
             StandardOpenOption.WRITE,
             StandardOpenOption.TRUNCATE_EXISTING)) {
-      BoundedTransfers.write(file, 0, ByteBuffer.wrap(manifest));
+      BoundedTransfers.write(file, 0, ByteBuffer.wrap(content));
       file.force(true);
     }
     try {
-      Files.move(fresh, folder.resolve(MANIFEST), StandardCopyOption.ATOMIC_MOVE);
+      Files.move(fresh, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE);
     } catch (AtomicMoveNotSupportedException e) {
       throw new UnusableStorageException(
           folder + " is on a file system that cannot replace a file atomically");
--- a/src/main/java/wharftrestle/storage/SegmentStore.java
+++ b/src/main/java/wharftrestle/storage/SegmentStore.java
@@ -26,6 +26,12 @@
   /** Replaces the manifest atomically and durably. */
   void writeManifest(byte[] manifest) throws IOException;
 
+  /** Reads the encoded {@link KeyNames}; null if there are none. */
+  byte[] readNames() throws IOException;
+
+  /** Replaces the encoded {@link KeyNames} atomically and durably. */
+  void writeNames(byte[] names) throws IOException;
+
   /** The numbers of the existing segments, in ascending order. */
   long[] segmentNumbers() throws IOException;
 
--- a/src/main/java/wharftrestle/storage/WriteAheadLog.java
+++ b/src/main/java/wharftrestle/storage/WriteAheadLog.java
@@ -79,9 +79,9 @@
 
   // ---- Opening and closing ----
 
-  /** Opens the log and recovers as many keys as are configured. */
+  /** Opens the log and recovers as many keys as are configured, whatever their names. */
   public ResultStore.RecoveredKeys open(double longestWindowSeconds) throws IOException {
-    return open(longestWindowSeconds, settings.keys());
+    return open(longestWindowSeconds, settings.keys(), null);
   }
 
   /**
@@ -90,24 +90,32 @@
    * @param longestWindowSeconds the longest idempotency window; if the log is damaged or has too
    *     many keys, unknown keys fail for this long
    * @param maxKeys keys that memory has space for
+   * @param names of the positions in keys; if those of earlier processes disagree, their keys are
+   *     dropped and unknown keys fail; null if positions are not checked
    * @return the recovered keys, in the order of their last records
    * @throws UnusableStorageException if another process holds the folder's lock, the format is
    *     foreign or newer, or the folder cannot be read or written; the message is one line
    */
-  public synchronized ResultStore.RecoveredKeys open(double longestWindowSeconds, int maxKeys)
-      throws IOException {
+  public synchronized ResultStore.RecoveredKeys open(
+      double longestWindowSeconds, int maxKeys, KeyNames names) throws IOException {
     if (writer != null) {
       throw new IllegalStateException("expected a closed write-ahead log, found " + state());
     }
     long startNanos = System.nanoTime();
     SegmentStore opened = opener.open();
     try {
+      if (names != null) {
+        KeyPositionCheck.run(opened, names, settings.folder());
+      }
       ResultStore.RecoveredKeys recovered = recoverAndStart(opened, longestWindowSeconds, maxKeys);
       metrics.recordRecoveryTime(System.nanoTime() - startNanos);
       return recovered;
     } catch (UnusableStorageException e) {
       opened.close();
       throw e;
+    } catch (Segment.ForeignFormatException e) {
+      opened.close();
+      throw new UnusableStorageException(settings.folder() + ": " + e.getMessage(), e);
     } catch (IOException | RuntimeException e) {
       opened.close();
       throw new UnusableStorageException(settings.folder() + " cannot be used (" + e + ")", e);
@@ -115,12 +123,13 @@
   }
 
   private ResultStore.RecoveredKeys recoverAndStart(
-      SegmentStore opened, double longestWindowSeconds, int maxKeys) throws IOException {
+      SegmentStore opened, double longestWindowSeconds, int maxKeys)
+      throws IOException, Segment.ForeignFormatException {
     synchronized (space) {
       reservedIntentBytes.clear();
     }
     double nowSeconds = LogClock.seconds();
-    LogReader.Contents contents = read(opened, nowSeconds, 0, maxKeys);
+    LogReader.Contents contents = LogReader.read(opened, space, nowSeconds, 0, maxKeys);
     Recovery recovery = contents.recovery();
     // Each start creates a segment, so repeated restarts would otherwise use up the space budget.
     if (!contents.damaged()
@@ -129,22 +138,13 @@
         && Compaction.run(opened, recovery, space.segmentBytes(), space.maxSegments())) {
       recovery.clear(); // so that memory never has all keys twice
       nowSeconds = LogClock.seconds();
-      contents = read(opened, nowSeconds, contents.batch(), maxKeys);
+      contents = LogReader.read(opened, space, nowSeconds, contents.batch(), maxKeys);
     }
     ResultStore.RecoveredKeys recovered = recoveredKeys(contents, nowSeconds, longestWindowSeconds);
     startWriter(opened, contents, nowSeconds + longestWindowSeconds + Recovery.LINGER_SECONDS);
     return recovered;
   }
 
-  private LogReader.Contents read(SegmentStore opened, double nowSeconds, int batch, int maxKeys)
-      throws IOException {
-    try {
-      return LogReader.read(opened, space, nowSeconds, batch, maxKeys);
-    } catch (Segment.ForeignFormatException e) {
-      throw new UnusableStorageException(settings.folder() + ": " + e.getMessage(), e);
-    }
-  }
-
   private ResultStore.RecoveredKeys recoveredKeys(
       LogReader.Contents contents, double nowSeconds, double longestWindowSeconds) {
     Recovery recovery = contents.recovery();
--- a/src/test/java/wharftrestle/BordersTest.java
+++ b/src/test/java/wharftrestle/BordersTest.java
@@ -75,7 +75,8 @@
           .and()
           .haveNameNotMatching(
               ".*\\.(WriteAheadLog|LogReader|LogWriter|SegmentWriter|LogMetrics|PendingRecord"
-                  + "|FileSegmentStore|SegmentStore|UnusableStorageException|Compaction|ResultLogTool)"
+                  + "|FileSegmentStore|SegmentStore|UnusableStorageException|Compaction|KeyPositionCheck"
+                  + "|ResultLogTool)"
                   + "(\\$.*)?")
           .should()
           .dependOnClassesThat()
--- a/src/test/java/wharftrestle/prove/StoredResultsStartTest.java
+++ b/src/test/java/wharftrestle/prove/StoredResultsStartTest.java
@@ -136,6 +136,39 @@
     }
   }
 
+  /** Stored keys begin with the position of their class, which then belongs to another class. */
+  @Test
+  void startWithClassesInAnotherOrder_executesNoKeyTwice() throws Exception {
+    try (HostTestbed testbed = newTestbed(64, "")) {
+      HostTestbed.Settings settings = testbed.settings();
+      DaemonProcess first = startWith(testbed, settings);
+      Map<String, byte[]> results = serveNewKeys(testbed, KEYS);
+      first.kill();
+
+      HostTestbed.Settings reversed =
+          new HostTestbed.Settings(
+              settings.memoryMb(), settings.keyWindowSeconds(), true, settings.extraClass());
+      startWith(testbed, reversed);
+
+      try (TestClient client = new TestClient(testbed.address())) {
+        for (String key : results.keySet()) {
+          String word = client.ask("save", ++references, key, "body of " + key).word();
+          assertEquals("error", word, key);
+        }
+        assertEquals("done", client.ask("read", ++references, null, "no key").word());
+      }
+      assertEquals(0, testbed.doubleRuns(), "executions of a key after its first");
+    }
+  }
+
+  private DaemonProcess startWith(HostTestbed testbed, HostTestbed.Settings settings)
+      throws IOException {
+    DaemonProcess daemon =
+        testbed.begin(new HostTestbed.Version(null, "wharftrestle.Main", settings, script("")));
+    assertTrue(daemon.awaitReady(READY_TIMEOUT_MS), daemon.log());
+    return daemon;
+  }
+
   @Test
   void successorInAnUpgrade_answersDuplicatesAndNewRequests() throws Exception {
     try (HostTestbed testbed = newTestbed(64, "")) {
--- a/src/test/java/wharftrestle/storage/MemorySegmentStore.java
+++ b/src/test/java/wharftrestle/storage/MemorySegmentStore.java
@@ -26,6 +26,7 @@
 
   private final Map<Long, File> files = new TreeMap<>();
   private byte[] manifest;
+  private byte[] names;
   private int operations;
   private int failAt = -1;
   private int failures;
@@ -84,6 +85,7 @@
     MemorySegmentStore next = new MemorySegmentStore();
     next.bootId = bootId + 1;
     next.manifest = manifest == null ? null : manifest.clone();
+    next.names = names;
     files.forEach(
         (number, file) -> {
           File copy = new File();
@@ -109,6 +111,7 @@
     MemorySegmentStore next = new MemorySegmentStore();
     next.bootId = bootId;
     next.manifest = manifest == null ? null : manifest.clone();
+    next.names = names;
     files.forEach(
         (number, file) -> {
           File copy = new File();
@@ -168,6 +171,17 @@
     manifest = newManifest.clone();
   }
 
+  @Override
+  public synchronized byte[] readNames() {
+    return names;
+  }
+
+  @Override
+  public synchronized void writeNames(byte[] newNames) throws IOException {
+    countOperation();
+    names = newNames.clone();
+  }
+
   @Override
   public synchronized long[] segmentNumbers() {
     return files.keySet().stream().mapToLong(Long::longValue).toArray();
--- a/src/test/java/wharftrestle/storage/StoredFormatFixtures.java
+++ b/src/test/java/wharftrestle/storage/StoredFormatFixtures.java
@@ -324,6 +324,16 @@
       files.writeManifest(list);
     }
 
+    @Override
+    public byte[] readNames() throws IOException {
+      return files.readNames();
+    }
+
+    @Override
+    public void writeNames(byte[] names) throws IOException {
+      files.writeNames(names);
+    }
+
     @Override
     public long[] segmentNumbers() throws IOException {
       return files.segmentNumbers();
--- a/src/test/java/wharftrestle/storage/WriteAheadLogTest.java
+++ b/src/test/java/wharftrestle/storage/WriteAheadLogTest.java
@@ -353,6 +353,97 @@
     SegmentBytes.scan(bytes, (record, at) -> assertNotNull(record.key()));
   }
 
+  private static final KeyNames NAMES =
+      new KeyNames(List.of("read", "save"), List.of("first tenant", "second/tenant"));
+
+  private static MemorySegmentStore diskOfOneKey(KeyNames names) throws Exception {
+    MemorySegmentStore disk = new MemorySegmentStore();
+    try (WriteAheadLog log = new WriteAheadLog(settings(4, "group"), () -> disk)) {
+      log.open(WINDOW_SECONDS, 10, names);
+      assertTrue(writeKey(log, "1/0/key", result(1)) >= 0);
+    }
+    return disk.afterKill();
+  }
+
+  private static ResultStore.RecoveredKeys reopened(MemorySegmentStore disk, KeyNames names)
+      throws Exception {
+    try (WriteAheadLog next = new WriteAheadLog(settings(4, "group"), () -> disk)) {
+      return next.open(WINDOW_SECONDS, 10, names);
+    }
+  }
+
+  /** Guards against a key that is read as the key of another class or tenant, and so runs twice. */
+  @Example
+  void open_withOtherNamesAtAPosition_dropsKeysAndFailsUnknownOnes() throws Exception {
+    List<KeyNames> others =
+        List.of(
+            new KeyNames(List.of("save", "read"), NAMES.tenants()),
+            new KeyNames(List.of("new", "read", "save"), NAMES.tenants()),
+            new KeyNames(NAMES.classes(), List.of("new tenant", "first tenant", "second/tenant")),
+            new KeyNames(NAMES.classes(), List.of()));
+    for (KeyNames other : others) {
+      MemorySegmentStore disk = diskOfOneKey(NAMES);
+
+      ResultStore.RecoveredKeys recovered = reopened(disk, other);
+
+      assertEquals(Map.of(), recoveredByKey(recovered), other.toString());
+      assertTrue(unknownKeysFail(recovered), other.toString());
+      assertTrue(unknownKeysFail(reopened(disk.afterKill(), other)), "a further start: " + other);
+    }
+  }
+
+  /** Guards against keys that run twice where the machine stops while keys are dropped. */
+  @Example
+  void open_withOtherNamesAndPowerLossAtAnyOperation_runsNoKeyAgain() throws Exception {
+    KeyNames other = new KeyNames(List.of("save", "read"), NAMES.tenants());
+    boolean powerLost = true;
+    for (int powerLossAt = 1; powerLost; powerLossAt++) {
+      MemorySegmentStore disk = diskOfOneKey(NAMES);
+      disk.losePowerAt(powerLossAt);
+      try {
+        reopened(disk, other);
+        powerLost = disk.isPowerLost();
+      } catch (IOException e) {
+        powerLost = true;
+      }
+
+      ResultStore.RecoveredKeys recovered = reopened(disk.afterPowerLoss(powerLossAt), other);
+
+      assertEquals(Map.of(), recoveredByKey(recovered), "power lost at " + powerLossAt);
+      assertTrue(unknownKeysFail(recovered), "power lost at " + powerLossAt);
+    }
+  }
+
+  @Example
+  void open_withNamesAddedOrRemovedAtTheEnd_recoversKeys() throws Exception {
+    KeyNames longer =
+        new KeyNames(
+            List.of("read", "save", "more"), List.of("first tenant", "second/tenant", "third"));
+    MemorySegmentStore disk = diskOfOneKey(NAMES);
+    for (KeyNames names : List.of(longer, NAMES, longer)) {
+      disk = disk.afterKill();
+
+      ResultStore.RecoveredKeys recovered = reopened(disk, names);
+
+      assertEquals(Set.of("1/0/key"), recoveredByKey(recovered).keySet(), names.toString());
+      assertFalse(unknownKeysFail(recovered), names.toString());
+    }
+    KeyNames otherThird =
+        new KeyNames(
+            List.of("read", "save", "other"), List.of("first tenant", "second/tenant", "third"));
+    assertTrue(
+        unknownKeysFail(reopened(disk.afterKill(), otherThird)),
+        "a class that was removed keeps its position");
+  }
+
+  @Example
+  void open_ofAFolderWithoutNames_recoversKeys() throws Exception {
+    ResultStore.RecoveredKeys recovered = reopened(diskOfOneKey(null), NAMES);
+
+    assertEquals(Set.of("1/0/key"), recoveredByKey(recovered).keySet());
+    assertFalse(unknownKeysFail(recovered));
+  }
+
   /** Guards against a start that needs more memory than there is, and against a forgotten key. */
   @Example
   void open_withMoreKeysThanMemoryAllows_keepsTheNewestAndFailsUnknownKeys() throws Exception {
@@ -365,13 +456,13 @@
     }
 
     try (WriteAheadLog next = new WriteAheadLog(settings(4, "group"), disk::afterKill)) {
-      ResultStore.RecoveredKeys recovered = next.open(WINDOW_SECONDS, 3);
+      ResultStore.RecoveredKeys recovered = next.open(WINDOW_SECONDS, 3, null);
 
       assertEquals(Set.of("2/0/k2", "2/0/k3", "2/0/k4"), recoveredByKey(recovered).keySet());
       assertTrue(unknownKeysFail(recovered));
     }
     try (WriteAheadLog next = new WriteAheadLog(settings(4, "group"), disk::afterKill)) {
-      ResultStore.RecoveredKeys recovered = next.open(WINDOW_SECONDS, 5);
+      ResultStore.RecoveredKeys recovered = next.open(WINDOW_SECONDS, 5, null);
 
       assertEquals(5, recoveredByKey(recovered).size());
       assertFalse(unknownKeysFail(recovered));
