Resume a change whose new daemon serves, in place of killing that daemon

Cause: recovery took the newer of two running daemons for obsolete, and the supervisor killed it before it asked whether it serves. By then it may have taken over by itself and have work in hand.

Change: a candidate that serves is adopted and the change goes on: the former daemon gets SIGTERM, the candidate its probation. One that does not serve yet gets SIGTERM in place of a kill, as it may begin to serve between the look and the signal.

--- a/src/main/java/wharftrestle/supervisor/HostSupervisor.java
+++ b/src/main/java/wharftrestle/supervisor/HostSupervisor.java
@@ -167,31 +167,31 @@
     recoverStartedDaemon();
     SupervisorRecovery recovery =
         SupervisorRecovery.of(journal.entries(), entry -> process(entry).isPresent());
-    for (SupervisorJournal.Entry entry : recovery.obsolete()) {
-      recordStep(
-          "ended",
-          SupervisorStateMachine.Role.CANDIDATE,
-          entry.release(),
-          entry.pid(),
-          entry.startedAtMillis(),
-          entry.adminPort(),
-          "the supervisor of this change has ended");
-      process(entry).ifPresent(ProcessHandle::destroyForcibly);
-    }
     recovery.terminating().forEach(entry -> process(entry).ifPresent(ProcessHandle::destroy));
+    boolean candidateServes =
+        recovery.candidate() != null
+            && DaemonStatus.fetch(recovery.candidate().adminPort()).ready();
+    if (recovery.candidate() != null && !candidateServes) {
+      endCandidate(recovery.candidate());
+    }
     if (recovery.active() != null) {
-      SupervisorJournal.Entry active = recovery.active();
-      daemons.put(
-          SupervisorStateMachine.Role.ACTIVE,
-          new Daemon(
-              active.pid(),
-              active.startedAtMillis(),
-              active.adminPort(),
-              active.release(),
-              process(active).orElseThrow()));
-      carryOut(
-          stateMachine.adopt(
-              recovery.activeRelease(), recovery.fallbackRelease(), recovery.inProbation(), now()));
+      adopt(SupervisorStateMachine.Role.ACTIVE, recovery.active());
+      if (candidateServes) {
+        adopt(SupervisorStateMachine.Role.CANDIDATE, recovery.candidate());
+        carryOut(
+            stateMachine.resumeChange(
+                recovery.activeRelease(),
+                recovery.fallbackRelease(),
+                recovery.candidate().release(),
+                now()));
+      } else {
+        carryOut(
+            stateMachine.adopt(
+                recovery.activeRelease(),
+                recovery.fallbackRelease(),
+                recovery.inProbation(),
+                now()));
+      }
     } else {
       String startRelease = firstRelease != null ? firstRelease : recovery.activeRelease();
       String obstacle =
@@ -226,6 +226,34 @@
     }
   }
 
+  /** Takes over a daemon that a former supervisor started. */
+  private void adopt(SupervisorStateMachine.Role role, SupervisorJournal.Entry entry) {
+    daemons.put(
+        role,
+        new Daemon(
+            entry.pid(),
+            entry.startedAtMillis(),
+            entry.adminPort(),
+            entry.release(),
+            process(entry).orElseThrow()));
+  }
+
+  /**
+   * Ends the candidate of a change that a former supervisor did not complete. It is not killed: it
+   * may have begun to serve just now, and then answers what it has read.
+   */
+  private void endCandidate(SupervisorJournal.Entry candidate) throws IOException {
+    recordStep(
+        "ended",
+        SupervisorStateMachine.Role.CANDIDATE,
+        candidate.release(),
+        candidate.pid(),
+        candidate.startedAtMillis(),
+        candidate.adminPort(),
+        "the supervisor of this change has ended");
+    process(candidate).ifPresent(ProcessHandle::destroy);
+  }
+
   /** Makes {@link #run} return; the daemons continue to run. */
   public void stop() {
     stopped = true;
--- a/src/main/java/wharftrestle/supervisor/SupervisorRecovery.java
+++ b/src/main/java/wharftrestle/supervisor/SupervisorRecovery.java
@@ -13,8 +13,8 @@
  * @param fallbackRelease release to return to if the active one fails; empty for none
  * @param active the active daemon; null if none runs
  * @param inProbation whether the active daemon is still in its probation
- * @param obsolete running daemons to kill: candidates of a change that the former supervisor didn't
- *     complete
+ * @param candidate the running candidate of a change that the former supervisor didn't complete,
+ *     beside a running active daemon; null if there is none
  * @param terminating running daemons to terminate: the journal records that they ended, but the
  *     former supervisor may have been killed before it signalled them
  */
@@ -23,7 +23,7 @@
     String fallbackRelease,
     SupervisorJournal.Entry active,
     boolean inProbation,
-    List<SupervisorJournal.Entry> obsolete,
+    SupervisorJournal.Entry candidate,
     List<SupervisorJournal.Entry> terminating) {
 
   /**
@@ -70,22 +70,18 @@
     }
     boolean activeIsRunning = active != null && isRunning.test(active);
     boolean candidateIsRunning = candidate != null && isRunning.test(candidate);
-    List<SupervisorJournal.Entry> obsolete = new ArrayList<>();
     if (!activeIsRunning && candidateIsRunning) {
       // A candidate takes over by itself when it detects that the active daemon has ended. The
       // release of the active daemon becomes the fallback.
       return new SupervisorRecovery(
-          candidate.release(), activeRelease, candidate, true, obsolete, terminating);
-    }
-    if (candidateIsRunning) {
-      obsolete.add(candidate);
+          candidate.release(), activeRelease, candidate, true, null, terminating);
     }
     return new SupervisorRecovery(
         activeRelease,
         fallbackRelease,
         activeIsRunning ? active : null,
         activeIsRunning && inProbation,
-        obsolete,
+        candidateIsRunning ? candidate : null,
         terminating);
   }
 }
--- a/src/main/java/wharftrestle/supervisor/SupervisorStateMachine.java
+++ b/src/main/java/wharftrestle/supervisor/SupervisorStateMachine.java
@@ -20,7 +20,8 @@
  *
  * <pre>
  * state         means                              next states
- * DOWN          no daemon runs                     STARTING (start), SERVING, PROBATION (adopt)
+ * DOWN          no daemon runs                     STARTING (start), SERVING, PROBATION (adopt),
+ *                                                  CHANGING (resume a change)
  * STARTING      the only daemon has been started   SERVING (ready), BACKOFF (exited, not in time)
  * SERVING       one daemon serves                  CHANGING (change, rollback by an operator),
  *                                                  BACKOFF (exited)
@@ -60,7 +61,8 @@
   private static final Map<State, Set<State>> TRANSITIONS = new EnumMap<>(State.class);
 
   static {
-    TRANSITIONS.put(State.DOWN, EnumSet.of(State.STARTING, State.SERVING, State.PROBATION));
+    TRANSITIONS.put(
+        State.DOWN, EnumSet.of(State.STARTING, State.SERVING, State.PROBATION, State.CHANGING));
     TRANSITIONS.put(State.STARTING, EnumSet.of(State.SERVING, State.BACKOFF));
     TRANSITIONS.put(State.SERVING, EnumSet.of(State.CHANGING, State.BACKOFF));
     TRANSITIONS.put(State.CHANGING, EnumSet.of(State.PROBATION, State.SERVING, State.BACKOFF));
@@ -219,6 +221,20 @@
     return drainActions();
   }
 
+  /**
+   * The supervisor starts and finds a change under way whose candidate serves already. If the
+   * candidate is the fallback release, the change is a rollback.
+   */
+  public List<Action> resumeChange(String running, String fallback, String candidate, double now) {
+    activeRelease = running;
+    fallbackRelease = fallback;
+    candidateRelease = candidate;
+    changeIsRollback = candidate.equals(fallback);
+    enter(State.CHANGING, now);
+    addAction(Action.Kind.RECORD, Role.CANDIDATE, candidate, "found serving, change resumed");
+    return drainActions();
+  }
+
   /**
    * The supervisor starts and finds a daemon that serves. If a change was under way, its candidate
    * has been ended, or has become the active daemon and is still in its probation.
--- a/src/test/java/wharftrestle/supervisor/HostSupervisorTest.java
+++ b/src/test/java/wharftrestle/supervisor/HostSupervisorTest.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.jar.Attributes;
@@ -276,6 +277,39 @@
     await("serving", "two");
   }
 
+  /**
+   * Guards against requests that are lost because a supervisor kills the daemon that serves: the
+   * former supervisor was killed once the candidate served, before it ended the active daemon.
+   */
+  @Test
+  void restart_onceTheCandidateServes_completesTheChange() throws Exception {
+    AtomicLong candidatePid = new AtomicLong();
+    startSupervisor(
+        "one",
+        entry -> {
+          if (entry.event().equals("started") && entry.release().equals("two")) {
+            candidatePid.set(entry.pid());
+          }
+          if (entry.event().equals("ended")) {
+            throw new Killed();
+          }
+        });
+    await("serving", "one");
+    String result = request("k");
+    assertTrue(sendCommand("change two").startsWith("ok "));
+    thread.join();
+    stopSupervisor();
+
+    startSupervisor(null);
+
+    JsonNode now = await("probation", "two");
+    assertEquals(candidatePid.get(), now.path("serves").path("pid").asLong());
+    assertEquals("one", now.path("back_to").asText());
+    assertEquals(result, request("k"), "the candidate has the keys");
+    await("serving", "two");
+    assertEquals(0, testbed.doubleRuns());
+  }
+
   /**
    * The supervisor is killed right before it writes the entry of this number. The entries are those
    * of a start (starting, started, said), a change (starting, started, ended, promoted, held) and a
--- a/src/test/java/wharftrestle/supervisor/StoredFormatTest.java
+++ b/src/test/java/wharftrestle/supervisor/StoredFormatTest.java
@@ -71,7 +71,7 @@
     SupervisorRecovery recovery = SupervisorRecovery.of(read, entry -> entry.pid() == 4_202);
 
     assertEquals(
-        new SupervisorRecovery("two", "one", read.get(4), false, List.of(), List.of()), recovery);
+        new SupervisorRecovery("two", "one", read.get(4), false, null, List.of()), recovery);
   }
 
   // ---- Published names ----
