Count a lack of memory at the worker pool link only while nothing else ends it

Cause: the time since the first lack of memory went on through failures of another kind.

Change: a failure of another kind begins the count anew. The field is used by one thread alone and is no longer volatile.

--- a/src/main/java/wharftrestle/upstream/WorkerPoolClient.java
+++ b/src/main/java/wharftrestle/upstream/WorkerPoolClient.java
@@ -60,7 +60,7 @@
   private boolean isOutageLogged; // one line for each outage
   private long bindCount;
   private Runnable memoryExhaustedListener = () -> {};
-  private volatile long firstOutOfMemoryNanos; // since the last bind; 0 if there was none
+  private long firstOutOfMemoryNanos; // of the failures in a row; 0 if the last was another
 
   /** Creates a client that is not started. */
   public WorkerPoolClient(
@@ -115,9 +115,7 @@
         if (e instanceof Server.MalformedException) {
           counters.add(Count.MALFORMED);
         }
-        if (e instanceof OutOfMemoryError) {
-          recordOutOfMemory(System.nanoTime());
-        }
+        recordFailure(e, System.nanoTime());
       }
       try {
         if (System.nanoTime() - startedNanos < MIN_LINK_NANOS) {
@@ -129,8 +127,11 @@
     }
   }
 
-  private void recordOutOfMemory(long now) {
-    if (firstOutOfMemoryNanos == 0) {
+  /** Notifies the listener if nothing but a lack of memory has ended the links for too long. */
+  private void recordFailure(Throwable failure, long now) {
+    if (!(failure instanceof OutOfMemoryError)) {
+      firstOutOfMemoryNanos = 0;
+    } else if (firstOutOfMemoryNanos == 0) {
       firstOutOfMemoryNanos = now;
     } else if (now - firstOutOfMemoryNanos > MAX_OUT_OF_MEMORY_NANOS) {
       memoryExhaustedListener.run();
