Play hostile clients beside ordinary ones at a daemon that deploy/run.sh starts

The operators report three pictures with hostile clients: killed by memory, answers late or never, and requests sent on for clients that had left. Nothing here could show or rule them out.

The fake worker pool can have a limited number of cores, cut a suspended execution and fail; the test host can have tenants.

--- a/src/main/java/wharftrestle/testbed/FakeWorkerPool.java
+++ b/src/main/java/wharftrestle/testbed/FakeWorkerPool.java
@@ -80,6 +80,8 @@
   private final int maxResultBytes;
   private final long startedAt;
   private volatile ExecutionListener listener;
+  private volatile LimitedCores limitedCores; // null: every execution has a core of its own
+  private volatile boolean isFailing;
   private boolean bindHeld;
 
   /**
@@ -113,7 +115,9 @@
                   public void command(WorkerPoolPeer.Link link, String[] words, String body)
                       throws IOException {
                     if (words[0].equals("poll")) {
-                      link.say("polled " + words[1] + " 0.2 1\r\n");
+                      link.say("polled " + words[1] + " " + gauges() + "\r\n");
+                    } else if (words[0].equals("suspend")) {
+                      suspend(words[1]);
                     } else if (words[0].equals("spawn")) {
                       execute(link, words[1], body);
                     }
@@ -138,6 +142,33 @@
     }
   }
 
+  /** Lets executions of this length wait for one of so many cores, and reports their use. */
+  void limitCores(int cores, int executionMs) {
+    limitedCores = new LimitedCores(cores, executionMs, executors);
+  }
+
+  /** Sets whether all executions fail at their end. */
+  public void setFailing(boolean fails) {
+    isFailing = fails;
+  }
+
+  private String gauges() {
+    LimitedCores cores = limitedCores;
+    return cores == null ? "0.2 1" : cores.busyFraction() + " " + cores.runnable();
+  }
+
+  /** Cuts an execution that waits for a core or occupies one. */
+  private void suspend(String reference) {
+    LimitedCores cores = limitedCores;
+    Execution execution;
+    synchronized (executionsByReference) {
+      execution = executionsByReference.get(reference);
+    }
+    if (cores != null && execution != null && cores.cancel(reference)) {
+      end(execution, reference, "cut 0", new byte[0]);
+    }
+  }
+
   InetSocketAddress address() {
     return peer.address();
   }
@@ -167,8 +198,6 @@
     return startsByName.size();
   }
 
-  // The outcome is sent by a notice; nothing waits for the future.
-  @SuppressWarnings("FutureReturnValueIgnored")
   private void execute(WorkerPoolPeer.Link link, String ref, String body) {
     Execution execution;
     boolean repeated;
@@ -201,20 +230,37 @@
     }
     byte[] payload =
         BoundedReader.join(BoundedReader.ascii(name + " run " + attempt + "\r\n"), result);
-    executors.schedule(
+    Runnable atEnd =
         () -> {
-          synchronized (executionsByReference) {
-            execution.outcome =
-                BoundedReader.join(
-                    BoundedReader.ascii(
-                        ref + " good " + durationMs + " " + payload.length + "\r\n"),
-                    payload,
-                    BoundedReader.ascii("\r\n"));
+          if (isFailing) {
+            end(execution, ref, "bad " + durationMs, new byte[0]);
+          } else {
+            end(execution, ref, "good " + durationMs, payload);
           }
-          sendOutcome(execution);
-        },
-        durationMs,
-        TimeUnit.MILLISECONDS);
+        };
+    schedule(ref, durationMs, atEnd);
+  }
+
+  // The outcome is sent by a notice; nothing waits for the future.
+  @SuppressWarnings("FutureReturnValueIgnored")
+  private void schedule(String reference, int durationMs, Runnable atEnd) {
+    LimitedCores cores = limitedCores;
+    if (cores != null) {
+      cores.run(reference, atEnd);
+    } else {
+      executors.schedule(atEnd, durationMs, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void end(Execution execution, String reference, String ending, byte[] payload) {
+    synchronized (executionsByReference) {
+      execution.outcome =
+          BoundedReader.join(
+              BoundedReader.ascii(reference + " " + ending + " " + payload.length + "\r\n"),
+              payload,
+              BoundedReader.ascii("\r\n"));
+    }
+    sendOutcome(execution);
   }
 
   /** Sends the outcome over the link that spawned it last; does nothing while it is in flight. */
--- a/src/main/java/wharftrestle/testbed/HostTestbed.java
+++ b/src/main/java/wharftrestle/testbed/HostTestbed.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import wharftrestle.transport.Address;
 
@@ -32,6 +33,11 @@
 
   private static final int MAX_EXECUTION_MS = 25;
 
+  private static final int DEFAULT_WORKER_CORES = 32;
+
+  /** Quota of each tenant in requests a second. */
+  private static final int TENANT_QUOTA = 100;
+
   /** Deadline of every request class. */
   static final long DEADLINE_MS = 6000;
 
@@ -104,6 +110,8 @@
   private RunScript runScript; // null unless daemons are started by it
   private String shellPrefix = "";
   private double coreLimit = 1;
+  private int workerCores = DEFAULT_WORKER_CORES;
+  private List<String> tenants = List.of();
   private int descriptorLimit = 512;
   private final ServerSocket storeSocket =
       new ServerSocket(0, 50, LOOPBACK); // fake store; it accepts no connection
@@ -172,6 +180,19 @@
     Files.writeString(folder.resolve("config.json"), config(version.settings(), daemonAdminPort));
   }
 
+  /** Sets the tenants, none of which has a quota that a test exceeds by itself. */
+  public void configureTenants(List<String> names) throws IOException {
+    tenants = List.copyOf(names);
+    Files.writeString(folder.resolve("config.json"), config(version.settings(), daemonAdminPort));
+  }
+
+  /** Limits the fake worker pool to this many cores and executions of this length. */
+  public void limitWorkerPool(int cores, int executionMs) throws IOException {
+    workerCores = cores;
+    pool.limitCores(cores, executionMs);
+    Files.writeString(folder.resolve("config.json"), config(version.settings(), daemonAdminPort));
+  }
+
   /** Sets the configured and the actual limit of open descriptors of the daemon. */
   public void limitDescriptors(int configured, int actual) throws IOException {
     shellPrefix += "ulimit -n " + actual + "; ";
@@ -264,10 +285,10 @@
                   "overShareWorth": 0.05,
                   "obligations": {"answerSlack": 0.06, "cold": 18, "coldFrom": 0.2, "drainGrace": 2, "fall": 3,
                    "tipMultiple": 8},
-                  "peersTotal": 1, "tenants": [], "tick": 0.004, "worthBy": "request",
+                  "peersTotal": 1, "tenants": [%s], "tick": 0.004, "worthBy": "request",
                   "specifics": {"callShare": 6, "callers": 3, "callsOver": 5, "classCalls": [%s],
                    "classSkipWorth": [%s], "downstream": "none", "gauges": ["cpu_busy", "runnable"], "heeded": 1,
-                   "keepaliveMax": 30, "keyKb": 1, "linger": 0.2, "listFollows": true, "memoryKb": 720000, "nCores": 32,
+                   "keepaliveMax": 30, "keyKb": 1, "linger": 0.2, "listFollows": true, "memoryKb": 720000, "nCores": %d,
                    "preemption": "pause", "runFactor": 2, "say": "weight", "shareFor": 0, "tellsGone": true}}}
                 """
         .formatted(
@@ -280,8 +301,19 @@
             processSettings.memoryMb(),
             descriptorLimit,
             String.join(",\n", processSettings.classes()),
+            tenantSettings(),
             perClass("false", processSettings),
-            perClass("0", processSettings));
+            perClass("0", processSettings),
+            workerCores);
+  }
+
+  private String tenantSettings() {
+    return tenants.stream()
+        .map(
+            name ->
+                "{\"name\": \"%s\", \"portion\": %s, \"allowancePerS\": %d}"
+                    .formatted(name, 1.0 / tenants.size(), TENANT_QUOTA))
+        .collect(Collectors.joining(", "));
   }
 
   // ---- The daemons ----
--- a/src/main/java/wharftrestle/testbed/RespPeer.java
+++ b/src/main/java/wharftrestle/testbed/RespPeer.java
@@ -18,6 +18,7 @@
 
   private final Socket socket = new Socket();
   private final InputStream in;
+  private String tenant; // null for none
 
   /**
    * A reply.
@@ -42,6 +43,11 @@
     in = new BufferedInputStream(socket.getInputStream());
   }
 
+  /** Sets the tenant of the requests that are sent from now on; null for none. */
+  public void useTenant(String name) {
+    tenant = name;
+  }
+
   /** The socket, for tests that violate the protocol. */
   public Socket socket() {
     return socket;
@@ -78,6 +84,7 @@
         tag,
         type,
         String.format("txn=%016x,door=%d,lb=1,ram=%s,standing=0.5", reference, sentAtMs, memoryKb)
+            + (tenant == null ? "" : ",team=" + tenant)
             + (key == null ? "" : ",unique=" + key),
         body);
   }
--- /dev/null
+++ b/src/test/java/wharftrestle/prove/OrdinaryClients.java
@@ -0,0 +1,149 @@
+package wharftrestle.prove;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import wharftrestle.testbed.TestClient;
+
+/**
+ * Ordinary clients that ask at a steady rate, some on connections that stay open and some on a new
+ * connection for each request, and the latencies that they measure. Latency counts from the moment
+ * at which a request was due, so that a slow answer delays no measurement. Thread-safe.
+ */
+final class OrdinaryClients {
+
+  /** One request: how it ended ("none" without an answer) and after how long. */
+  private record Sample(String word, double latencyMs) {}
+
+  private static final AtomicLong NEXT_NUMBER = new AtomicLong(1);
+  private static final int KEYED_EVERY = 4;
+
+  private final InetSocketAddress address;
+  private final String tenant;
+  private final ConcurrentLinkedQueue<Sample> onOpenConnections = new ConcurrentLinkedQueue<>();
+  private final ConcurrentLinkedQueue<Sample> onNewConnections = new ConcurrentLinkedQueue<>();
+  private volatile boolean isStopped;
+
+  OrdinaryClients(InetSocketAddress address, String tenant) {
+    this.address = address;
+    this.tenant = tenant;
+  }
+
+  /** Starts the clients; each asks once in the interval. */
+  Thread[] start(int withOpenConnection, int withNewConnections, int intervalMs) {
+    Thread[] threads = new Thread[withOpenConnection + withNewConnections];
+    for (int i = 0; i < threads.length; i++) {
+      boolean keepsConnection = i < withOpenConnection;
+      long phaseNanos = (long) (1e6 * intervalMs * i / threads.length);
+      threads[i] =
+          new Thread(() -> run(keepsConnection, phaseNanos, intervalMs), "ordinary-client " + i);
+      threads[i].setDaemon(true);
+      threads[i].start();
+    }
+    return threads;
+  }
+
+  void stop() {
+    isStopped = true;
+  }
+
+  private void run(boolean keepsConnection, long phaseNanos, int intervalMs) {
+    TestClient client = null;
+    for (long dueAt = System.nanoTime() + phaseNanos;
+        !isStopped;
+        dueAt += intervalMs * 1_000_000L) {
+      LockSupport.parkNanos(dueAt - System.nanoTime());
+      String word = "none";
+      try {
+        if (client != null && client.closing()) {
+          client.close();
+          client = null;
+        }
+        if (client == null) {
+          client = new TestClient(address);
+          client.useTenant(tenant);
+        }
+        word = ask(client);
+      } catch (IOException lost) {
+        close(client);
+        client = null;
+      }
+      double latencyMs = (System.nanoTime() - dueAt) / 1e6;
+      (keepsConnection ? onOpenConnections : onNewConnections).add(new Sample(word, latencyMs));
+      if (!keepsConnection) {
+        close(client);
+        client = null;
+      }
+      dueAt = Math.max(dueAt, System.nanoTime() - intervalMs * 1_000_000L);
+    }
+    close(client);
+  }
+
+  private static String ask(TestClient client) throws IOException {
+    long number = NEXT_NUMBER.incrementAndGet();
+    String body = "ordinary" + number;
+    return number % KEYED_EVERY == 0
+        ? client.ask("save", number, "key" + number, body).word()
+        : client.ask("read", number, null, body).word();
+  }
+
+  private static void close(TestClient client) {
+    try {
+      if (client != null) {
+        client.close();
+      }
+    } catch (IOException ignored) {
+      return; // it is not used any more
+    }
+  }
+
+  /** Latencies and answers, for the two kinds of connections. */
+  String summary() {
+    return "open connections "
+        + summary(onOpenConnections)
+        + "; new connections "
+        + summary(onNewConnections);
+  }
+
+  private static String summary(ConcurrentLinkedQueue<Sample> samples) {
+    double[] latencies = samples.stream().mapToDouble(Sample::latencyMs).sorted().toArray();
+    Map<String, Integer> words = new TreeMap<>();
+    samples.forEach(each -> words.merge(each.word(), 1, Integer::sum));
+    return String.format(
+        Locale.ROOT,
+        "p50 %.1f p99 %.1f worst %.1f ms %s",
+        quantile(latencies, 0.5),
+        quantile(latencies, 0.99),
+        quantile(latencies, 1),
+        words);
+  }
+
+  private static double quantile(double[] sorted, double part) {
+    return sorted.length == 0
+        ? Double.NaN
+        : sorted[(int) Math.min(sorted.length - 1, Math.floor(part * sorted.length))];
+  }
+
+  /** Latency in milliseconds that a part of all requests does not exceed. */
+  double latencyMs(double part) {
+    double[] all =
+        java.util.stream.Stream.concat(onOpenConnections.stream(), onNewConnections.stream())
+            .mapToDouble(Sample::latencyMs)
+            .toArray();
+    Arrays.sort(all);
+    return quantile(all, part);
+  }
+
+  /** Number of requests without any answer. */
+  long unanswered() {
+    return java.util.stream.Stream.concat(onOpenConnections.stream(), onNewConnections.stream())
+        .filter(each -> each.word().equals("none"))
+        .count();
+  }
+}
