Close peers that read nothing sooner where new clients need their place

What callers saw: beside 200 clients that sent health checks and read no answer, 273 of 349 requests on new connections were turned away.

Cause: at the limit a connection is told to go and given time to hear it, 16 at a time. A peer that reads nothing kept one of these places until its write had stood still for 5 s.

Fix: at the limit a peer whose write has stood still for 1 s is closed at once, before anybody is told to go. A peer that reads never has so much unread that a write must wait, as 32 requests may be open.

--- a/src/main/java/wharftrestle/transport/Connection.java
+++ b/src/main/java/wharftrestle/transport/Connection.java
@@ -54,6 +54,12 @@
    */
   private static final int MAX_DISCARDED_BYTES = 256 * 1024;
 
+  /**
+   * Milliseconds after which a peer counts as not reading while others need the place of its
+   * connection: longer than a process is paused by its CPU limit.
+   */
+  private static final int MAX_STUCK_AT_LIMIT_MS = 1000;
+
   /** Milliseconds between two polls of a closing connection by its reading thread. */
   private static final int DISCARD_POLL_MS = 50;
 
@@ -303,6 +309,15 @@
     }
   }
 
+  /** Closes the connection if its peer does not read while others need its place; true if so. */
+  boolean closeIfNotReading(long now) {
+    boolean isStuck = state.isWriteStuck(now, MAX_STUCK_AT_LIMIT_MS * 1_000_000L);
+    if (isStuck) {
+      closeNonReadingPeer();
+    }
+    return isStuck;
+  }
+
   private boolean isQuiet() {
     try {
       return state.isQuiet(input.available());
--- a/src/main/java/wharftrestle/transport/Server.java
+++ b/src/main/java/wharftrestle/transport/Server.java
@@ -361,6 +361,9 @@
    * connections are closing than the limit allows.
    */
   private boolean evictOne() {
+    if (closeOneNotReading()) {
+      return true;
+    }
     int closingCount = closingConnections().size();
     if (openConnections.size() - closingCount < maxConnections) {
       return closingCount < maxClosing || closeOneClosing();
@@ -403,6 +406,23 @@
     return false;
   }
 
+  /**
+   * Closes one connection whose peer has not read its answers for some time. At the connection
+   * limit it is not given as long as otherwise: a peer that reads its answers never leaves so many
+   * unread that a write must wait.
+   */
+  private boolean closeOneNotReading() {
+    long now = System.nanoTime();
+    for (Connection each : openConnections) {
+      if (each.closeIfNotReading(now)) {
+        counters.add(Count.CONNECTIONS_EVICTED);
+        openConnections.remove(each);
+        return true;
+      }
+    }
+    return false;
+  }
+
   private List<Connection> closingConnections() {
     return openConnections.stream().filter(each -> each.phase() != Phase.OPEN).toList();
   }
--- a/src/test/java/wharftrestle/transport/ServerTest.java
+++ b/src/test/java/wharftrestle/transport/ServerTest.java
@@ -436,6 +436,46 @@
     }
   }
 
+  /**
+   * Guards against new peers that are turned away because peers that do not read fill the table.
+   */
+  @Test
+  void peersThatReadNothing_atTheLimit_giveWayToNewOnes() throws Exception {
+    Server.Front floodingFrontend =
+        connection -> {
+          for (int c = connection.in().read(); c >= 0; c = connection.in().read()) {
+            connection.heard(Merit.HEARD);
+            if (c == 'f') {
+              served.add(connection);
+              while (connection.phase() != ConnectionState.Phase.CLOSED) {
+                connection.send(new byte[4000]);
+              }
+            }
+            connection.send(BoundedReader.ascii("ok"));
+          }
+        };
+    int maxConnections = 2;
+    int maxClosing = 2;
+    List<Socket> flooding = new ArrayList<>();
+    try (Server server = server(maxConnections, maxClosing, floodingFrontend)) {
+      server.start();
+      for (int i = 0; i < maxConnections + maxClosing; i++) {
+        flooding.add(peer(server));
+        write(flooding.get(i), "f");
+        served.take();
+      }
+      Thread.sleep(1500); // longer than a peer is given at the limit, shorter than otherwise
+      try (Socket ordinary = peer(server)) {
+        write(ordinary, "a");
+        assertEquals("ok", read(ordinary, 2));
+      }
+    } finally {
+      for (Socket peer : flooding) {
+        peer.close();
+      }
+    }
+  }
+
   @Test
   void peerThatReadsNothingIsClosedAndItsThreadsEnd() throws Exception {
     Server.Front floodingFrontend =
