Remember no more than 2,048 callers for the idle timeout

Callers choose their numbers, and each new one was remembered for 5 s without a bound on how many; reckoned 9 MB of heap for 100,000.

The callers that came last are remembered, up to a bound. Beyond it a caller counts as not returning, so idle connections are closed earlier.

IdleConnectionControlTest: 100,000 remembered on, 2,048 now. Recorded decisions unchanged (DecisionRecordingTest).

--- a/src/main/java/wharftrestle/admission/IdleConnectionControl.java
+++ b/src/main/java/wharftrestle/admission/IdleConnectionControl.java
@@ -16,6 +16,9 @@
   /** A caller counts as returning if its next request arrives within this time. */
   private static final double RETURN_SECONDS = 5;
 
+  /** Callers that are remembered: callers choose their numbers, and may send ever new ones. */
+  private static final int MAX_CALLERS = 2048;
+
   /** Fraction of returning callers above which idle connections stay open. */
   private static final double RETURN_FRACTION = 0.4;
 
@@ -66,10 +69,16 @@
     }
   }
 
+  /** Returns the number of callers whose last arrival is remembered. */
+  int rememberedCallers() {
+    return lastArrivals.size();
+  }
+
   private void recordReturn(double now, int caller) {
     Double last = lastArrivals.remove(caller);
     lastArrivals.put(caller, now);
-    while (lastArrivals.values().iterator().next() < now - RETURN_SECONDS) {
+    while (lastArrivals.size() > MAX_CALLERS
+        || lastArrivals.values().iterator().next() < now - RETURN_SECONDS) {
       lastArrivals.remove(lastArrivals.keySet().iterator().next());
     }
     boolean returned = last != null && last >= now - RETURN_SECONDS;
