Split the parser of requests and the table of open ones from the RESP front end

RespRequestParser checks the fields of a request, OpenRequests holds what is open on a connection, InvalidRequestException is a type of its own. Nothing of what they do has changed.

--- /dev/null
+++ b/src/main/java/wharftrestle/frontend/OpenRequests.java
@@ -0,0 +1,32 @@
+package wharftrestle.frontend;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import wharftrestle.request.Acceptance;
+
+/** The requests of one connection by tag, until they are answered or withdrawn. Thread-safe. */
+final class OpenRequests {
+  private final Map<String, Acceptance.InFlight> byTag = new ConcurrentHashMap<>();
+
+  boolean contains(String tag) {
+    return byTag.containsKey(tag);
+  }
+
+  int size() {
+    return byTag.size();
+  }
+
+  void add(String tag, Acceptance.InFlight request) {
+    byTag.put(tag, request);
+  }
+
+  /** Removes a request; null if none with this tag is open. */
+  Acceptance.InFlight remove(String tag) {
+    return byTag.remove(tag);
+  }
+
+  void forEach(Consumer<Acceptance> action) {
+    byTag.values().forEach(action);
+  }
+}
--- a/src/main/java/wharftrestle/frontend/RespFrontend.java
+++ b/src/main/java/wharftrestle/frontend/RespFrontend.java
@@ -5,13 +5,7 @@
 import java.io.InputStream;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.LockSupport;
-import java.util.regex.Pattern;
-import wharftrestle.admission.Admission;
 import wharftrestle.metrics.Counters;
 import wharftrestle.metrics.Counters.Count;
 import wharftrestle.request.Acceptance;
@@ -19,7 +13,6 @@
 import wharftrestle.request.AnswerListener;
 import wharftrestle.request.IncomingRequest;
 import wharftrestle.request.RequestCoordinator;
-import wharftrestle.time.SteadyWallClock;
 import wharftrestle.transport.BoundedReader;
 import wharftrestle.transport.Connection;
 import wharftrestle.transport.InputRateLimiter;
@@ -27,30 +20,14 @@
 import wharftrestle.transport.Server.MalformedException;
 
 /**
- * The platform's protocol: RESP arrays of bulk strings. Keeps the open requests of each connection
- * by tag until they are answered, and passes every request to the {@link RequestCoordinator}, which
- * decides about it.
+ * The platform's protocol: RESP arrays of bulk strings. Reads the messages of each connection and
+ * passes every request to the {@link RequestCoordinator}, which decides about it.
  */
 public final class RespFrontend implements Server.Front {
   private static final int MAX_PARTS = 5;
   private static final int MAX_PART_BYTES = 1024;
   private static final int MAX_BODY_BYTES = 2048;
   private static final int MAX_LENGTH_DIGITS = 6;
-  private static final int MAX_KEY_CHARS = 64;
-
-  /** Memory reserved for a request is below this, in kB. */
-  private static final double MEMORY_LIMIT_KB = 2000;
-
-  /**
-   * Maximum work announced for a request, ten hours in milliseconds; more is an error of the
-   * sender.
-   */
-  private static final double MAX_CPU_MS = 36_000_000;
-
-  /** Milliseconds by which the timestamp of a request may be ahead of this clock, and behind it. */
-  private static final long MAX_AHEAD_MS = 1000;
-
-  private static final long MAX_BEHIND_MS = 600_000;
 
   /** Invalid requests after which a connection that has sent nothing else is closed. */
   private static final int MAX_INVALID = 8;
@@ -72,26 +49,18 @@
   /** Milliseconds to complete any other message; longer than a machine may be paused. */
   private static final int MESSAGE_TIMEOUT_MS = 10_000;
 
-  private static final Pattern REFERENCE = Pattern.compile("[0-9a-f]{16}");
   private static final byte[] CLOSING = array("0", "closing", "", new byte[0]);
 
   private final RequestCoordinator coordinator;
+  private final RespRequestParser parser;
   private final InputRateLimiter limiter;
   private final Counters counters;
-  private final Map<String, Integer> classes = new HashMap<>();
-  private final Map<String, Integer> tenants = new HashMap<>();
 
   public RespFrontend(RequestCoordinator coordinator, InputRateLimiter limiter, Counters counters) {
     this.coordinator = coordinator;
     this.limiter = limiter;
     this.counters = counters;
-    List<Admission.RequestClass> requestClasses = coordinator.settings().classes();
-    for (int i = 0; i < requestClasses.size(); i++) {
-      classes.put(requestClasses.get(i).name(), i);
-    }
-    for (int i = 0; i < coordinator.settings().tenants().size(); i++) {
-      tenants.put(coordinator.settings().tenants().get(i).name(), i);
-    }
+    parser = new RespRequestParser(coordinator.settings());
   }
 
   @Override
@@ -102,10 +71,10 @@
 
   @Override
   public void serve(Connection connection) throws IOException {
-    Map<String, Acceptance.InFlight> openRequests = new ConcurrentHashMap<>();
+    OpenRequests openRequests = new OpenRequests();
     InputRateLimiter.Account account = limiter.open(System.nanoTime());
     int invalidCount = 0;
-    connection.onDisconnect(() -> openRequests.values().forEach(coordinator::callerDisconnected));
+    connection.onDisconnect(() -> openRequests.forEach(coordinator::callerDisconnected));
     // Announces that this front end reports handled input. A peer whose next message always arrives
     // in time would otherwise never cause such a report, and could be closed while a message is
     // half read.
@@ -114,7 +83,7 @@
       awaitShare(connection, account);
       try {
         handle(connection, openRequests, parts);
-      } catch (InvalidException e) {
+      } catch (InvalidRequestException e) {
         // Well framed, but not executable: it is answered with an error and the connection
         // continues. Peers that send nothing else would repeat it as fast as they are answered, so
         // they are closed.
@@ -147,8 +116,7 @@
     }
   }
 
-  private void handle(
-      Connection connection, Map<String, Acceptance.InFlight> openRequests, byte[][] parts)
+  private void handle(Connection connection, OpenRequests openRequests, byte[][] parts)
       throws IOException {
     String command = text(parts[0]);
     if (parts.length < 2) {
@@ -176,110 +144,31 @@
     }
   }
 
-  /** A well-framed request whose content is invalid. */
-  private static final class InvalidException extends IOException {
-    private static final long serialVersionUID = 1L;
-
-    InvalidException(String message) {
-      super(message);
-    }
-  }
-
   private void handleAsk(
-      Connection connection,
-      Map<String, Acceptance.InFlight> openRequests,
-      String tag,
-      byte[][] parts)
+      Connection connection, OpenRequests openRequests, String tag, byte[][] parts)
       throws IOException {
-    if (openRequests.containsKey(tag)
-        || openRequests.size() >= InputRateLimiter.MAX_OPEN_REQUESTS) {
+    if (openRequests.contains(tag) || openRequests.size() >= InputRateLimiter.MAX_OPEN_REQUESTS) {
       // Two answers with one tag could not be distinguished, and one peer must not use up all
       // capacity.
       throw new MalformedException("tag already in use, or too many open requests");
     }
-    IncomingRequest request = parseRequest(parts);
+    IncomingRequest request = parser.parse(parts);
     connection.heard(Connection.Merit.HEARD);
     if (!connection.beginRequest()) {
       return; // closing, nothing was executed: the front end sends the request again
     }
     AnswerWriter answerWriter = new AnswerWriter(connection, openRequests, tag);
     synchronized (answerWriter) {
-      if (coordinator.accept(request, answerWriter) instanceof Acceptance.InFlight inFlight) {
-        openRequests.put(tag, inFlight);
+      if (coordinator.accept(request, answerWriter)
+          instanceof Acceptance.InFlight inFlight) {
+        openRequests.add(tag, inFlight);
       } else {
         connection.completeRequest();
       }
     }
   }
 
-  /**
-   * Parses a request and checks that each field is within the range of the protocol, as the
-   * admission policy computes with them.
-   */
-  private IncomingRequest parseRequest(byte[][] parts) throws InvalidException {
-    if (parts.length < 4) {
-      throw new InvalidException("request without fields");
-    }
-    Map<String, String> fields = parseFields(text(parts[3]));
-    Integer classIndex = classes.get(text(parts[2]));
-    Integer tenantIndex = tenants.isEmpty() ? Integer.valueOf(0) : tenants.get(fields.get("team"));
-    String reference = fields.getOrDefault("txn", "");
-    if (classIndex == null || tenantIndex == null || !REFERENCE.matcher(reference).matches()) {
-      throw new InvalidException("unknown class or tenant, or no valid reference");
-    }
-    boolean isKeyed =
-        coordinator.settings().classes().get(classIndex).idempotency()
-            == Admission.Idempotency.IDEMPOTENCY_KEY;
-    String idempotencyKey = isKeyed ? fields.getOrDefault("unique", "") : null;
-    String subject = fields.get("item");
-    if ((isKeyed && (idempotencyKey.isEmpty() || idempotencyKey.length() > MAX_KEY_CHARS))
-        || (subject != null && subject.length() > MAX_KEY_CHARS)) {
-      throw new InvalidException("idempotency key missing or too long, or subject too long");
-    }
-    double memoryKb;
-    double rank;
-    double expectedWorkMillis;
-    long callerId;
-    long arrivalUnixMillis;
-    long retryFlag;
-    try {
-      memoryKb = BoundedReader.parseDecimal(fields.getOrDefault("ram", ""));
-      rank = BoundedReader.parseDecimal(fields.getOrDefault("standing", ""));
-      expectedWorkMillis = BoundedReader.parseDecimal(fields.getOrDefault("cpu", "0"));
-      retryFlag = BoundedReader.number(fields.getOrDefault("second", "0"), Integer.MAX_VALUE);
-      callerId = BoundedReader.number(fields.getOrDefault("lb", ""), Integer.MAX_VALUE);
-      arrivalUnixMillis = BoundedReader.number(fields.getOrDefault("door", ""), Long.MAX_VALUE);
-    } catch (IOException e) {
-      throw new InvalidException(e.getMessage());
-    }
-    long now = SteadyWallClock.wallMillis();
-    if (memoryKb <= 0
-        || memoryKb >= MEMORY_LIMIT_KB
-        || rank < 0
-        || rank >= 1
-        || expectedWorkMillis < 0
-        || expectedWorkMillis > MAX_CPU_MS
-        || arrivalUnixMillis > now + MAX_AHEAD_MS
-        || arrivalUnixMillis < now - MAX_BEHIND_MS) {
-      throw new InvalidException("numeric field out of range");
-    }
-    return new IncomingRequest(
-        reference,
-        retryFlag > 0,
-        classIndex,
-        tenantIndex,
-        memoryKb,
-        (int) callerId,
-        rank,
-        expectedWorkMillis / 1000,
-        idempotencyKey,
-        subject,
-        SteadyWallClock.toSteadyWallMillis(arrivalUnixMillis),
-        parts.length > 4 ? parts[4] : new byte[0]);
-  }
-
-  private record AnswerWriter(
-      Connection connection, Map<String, Acceptance.InFlight> openRequests, String tag)
+  private record AnswerWriter(Connection connection, OpenRequests openRequests, String tag)
       implements AnswerListener {
     @Override
     public void onAnswer(Answer answer) {
@@ -309,18 +198,6 @@
     }
   }
 
-  private static Map<String, String> parseFields(String text) throws InvalidException {
-    Map<String, String> fields = new HashMap<>();
-    for (String field : text.isEmpty() ? new String[0] : text.split(",")) {
-      int equals = field.indexOf('=');
-      if (equals <= 0
-          || fields.put(field.substring(0, equals), field.substring(equals + 1)) != null) {
-        throw new InvalidException("field without a value or repeated");
-      }
-    }
-    return fields;
-  }
-
   /** Reads the next array; null if the peer closed between two, or never sent one in time. */
   private byte[][] readMessage(Connection connection) throws IOException {
     InputStream in = connection.in();
@@ -392,7 +269,7 @@
     }
   }
 
-  private static String text(byte[] part) {
+  static String text(byte[] part) {
     return new String(part, StandardCharsets.ISO_8859_1);
   }
 
