Leave places for others where one connection has many requests in flight

What callers saw: at 64 MB, four clients with 16 open requests, each of which sent the next as soon as one was answered, had most requests of ordinary clients rejected: 74 of 327 served, with worker pool cores for all of these.

Cause: the number of requests in flight is bounded, as each has a thread; who found no place was rejected, and a place that became free went to whoever sent next.

Fix: a connection may have twice as many in flight as there are free places (dynamic thresholds, Choudhury and Hahne 1998). What exceeds it is rejected at once as before, and ran nothing; keys that may have run fail instead, as before. Withdrawn requests count as long as they execute.

--- a/src/main/java/wharftrestle/frontend/OpenRequests.java
+++ b/src/main/java/wharftrestle/frontend/OpenRequests.java
@@ -4,10 +4,17 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import wharftrestle.request.Acceptance;
+import wharftrestle.request.ConnectionUsage;
 
 /** The requests of one connection by tag, until they are answered or withdrawn. Thread-safe. */
 final class OpenRequests {
   private final Map<String, Acceptance.InFlight> byTag = new ConcurrentHashMap<>();
+  private final ConnectionUsage usage = new ConnectionUsage();
+
+  /** What the coordinator counts for this connection. */
+  ConnectionUsage usage() {
+    return usage;
+  }
 
   boolean contains(String tag) {
     return byTag.containsKey(tag);
--- a/src/main/java/wharftrestle/frontend/RespFrontend.java
+++ b/src/main/java/wharftrestle/frontend/RespFrontend.java
@@ -159,7 +159,7 @@
     }
     AnswerWriter answerWriter = new AnswerWriter(connection, openRequests, tag);
     synchronized (answerWriter) {
-      if (coordinator.accept(request, answerWriter)
+      if (coordinator.accept(request, answerWriter, openRequests.usage())
           instanceof Acceptance.InFlight inFlight) {
         openRequests.add(tag, inFlight);
       } else {
--- a/src/main/java/wharftrestle/request/InFlightRequest.java
+++ b/src/main/java/wharftrestle/request/InFlightRequest.java
@@ -84,6 +84,7 @@
   final String key;
 
   final AnswerListener listener;
+  final ConnectionUsage connection;
   final Condition changed;
   final ArrayDeque<Step> steps = new ArrayDeque<>();
 
@@ -147,8 +148,14 @@
   /** Memory is reserved for the key until it expires. */
   boolean hasReservation;
 
-  InFlightRequest(long id, IncomingRequest incoming, AnswerListener listener, Condition changed) {
+  InFlightRequest(
+      long id,
+      IncomingRequest incoming,
+      AnswerListener listener,
+      ConnectionUsage connection,
+      Condition changed) {
     this.id = id;
+    this.connection = connection;
     this.incoming = incoming;
     this.key =
         incoming.idempotencyKey() == null
--- a/src/main/java/wharftrestle/request/InFlightTable.java
+++ b/src/main/java/wharftrestle/request/InFlightTable.java
@@ -10,6 +10,9 @@
  * the worker pool. Guarded by the coordinator's lock, except {@link #setMaxInFlight}.
  */
 final class InFlightTable {
+  /** Requests that a connection may have in flight for each one that is free. */
+  private static final int SHARE_OF_FREE = 2;
+
   private final Map<Long, InFlightRequest> byId = new HashMap<>();
   private final Map<String, InFlightRequest> byReference = new HashMap<>();
   private final Condition emptied;
@@ -25,8 +28,13 @@
     maxInFlight = requests;
   }
 
-  boolean isFull() {
-    return byId.size() >= maxInFlight;
+  /**
+   * Returns whether a connection may add no further request. It may have a multiple of what is
+   * still free, so that however many requests one connection sends, others find room: the dynamic
+   * thresholds by which switches share a buffer (Choudhury and Hahne, 1998).
+   */
+  boolean isFullFor(ConnectionUsage connection) {
+    return connection.inFlight >= SHARE_OF_FREE * (maxInFlight - byId.size());
   }
 
   int size() {
@@ -59,12 +67,15 @@
 
   void add(InFlightRequest request) {
     byId.put(request.id, request);
+    request.connection.inFlight++;
     byReference.put(request.incoming.reference(), request);
   }
 
   /** Removes a request; no effect if it was never added. */
   void remove(InFlightRequest request) {
-    byId.remove(request.id);
+    if (byId.remove(request.id) != null) {
+      request.connection.inFlight--;
+    }
     byReference.remove(request.incoming.reference(), request);
     if (byId.isEmpty()) {
       emptied.signalAll();
--- a/src/main/java/wharftrestle/request/RequestArrival.java
+++ b/src/main/java/wharftrestle/request/RequestArrival.java
@@ -50,7 +50,7 @@
         request.key == null ? null : keyedRequests.table().find(request.key);
     boolean mayHaveExecuted =
         (existing != null && existing.mayHaveRun()) || (request.key != null && !claims.ownsKeys());
-    if (inFlight.isFull()) {
+    if (inFlight.isFullFor(request.connection)) {
       // Each request in flight has a thread, so their number must be bounded to bound the memory.
       rejectOrFail(request, mayHaveExecuted);
     } else if (!admission.isStarted() && hasResultFor(existing, request)) {
--- a/src/main/java/wharftrestle/request/RequestCoordinator.java
+++ b/src/main/java/wharftrestle/request/RequestCoordinator.java
@@ -98,9 +98,19 @@
 
   // ---- Requests ----
 
-  /** Accepts a request, which is processed on a separate thread unless it is answered at once. */
+  /** Accepts the only request of a connection, as {@link #accept} with usage does. */
   public Acceptance accept(IncomingRequest incoming, AnswerListener listener) {
-    return parts.lifecycle.accept(incoming, listener);
+    return accept(incoming, listener, new ConnectionUsage());
+  }
+
+  /**
+   * Accepts a request, which is processed on a separate thread unless it is answered at once.
+   *
+   * @param connection usage of the connection that the request came over
+   */
+  public Acceptance accept(
+      IncomingRequest incoming, AnswerListener listener, ConnectionUsage connection) {
+    return parts.lifecycle.accept(incoming, listener, connection);
   }
 
   /** The caller of a request has disconnected; no effect once the request is answered. */
--- a/src/main/java/wharftrestle/request/RequestLifecycle.java
+++ b/src/main/java/wharftrestle/request/RequestLifecycle.java
@@ -68,9 +68,9 @@
   }
 
   /** Accepts a request, on the thread that read it. */
-  Acceptance accept(IncomingRequest incoming, AnswerListener listener) {
+  Acceptance accept(IncomingRequest incoming, AnswerListener listener, ConnectionUsage connection) {
     counters.requestReceived();
-    InFlightRequest request = create(incoming, listener);
+    InFlightRequest request = create(incoming, listener, connection);
     if (!claims.mustClaim(request)) {
       processArrival(request); // most rejected requests need no separate thread
     }
@@ -88,10 +88,11 @@
     return request;
   }
 
-  private InFlightRequest create(IncomingRequest incoming, AnswerListener listener) {
+  private InFlightRequest create(
+      IncomingRequest incoming, AnswerListener listener, ConnectionUsage connection) {
     lock.lock();
     try {
-      return new InFlightRequest(++latestId, incoming, listener, lock.newCondition());
+      return new InFlightRequest(++latestId, incoming, listener, connection, lock.newCondition());
     } finally {
       lock.unlock();
     }
