See the end of a delayed connection, and end connections that ignore the go-away message

What callers saw: requests of a client that had closed its connection were read and executed for as long as its messages were delayed. Beside 200 clients that read nothing and send on, new clients were turned away: a connection that is told to go keeps one of 16 places until no input comes, and these always send.

Cause: the end of a connection is behind its unread messages; and a connection that was told to go was closed only once it was quiet.

Fix: while a message is delayed, the connection is read ahead, up to 16 kB; if its end is found, what tells a gone caller from one that has ended its output is sent before anything more is handled. A peer from which input came before 40 looks in a row after its time to go gets no more requests accepted; looks and not time, as this process may have been paused. Only a connection with more input than can be read ahead is sent away for its excess, and none is closed for it at once: closing those that keep to the protocol made them connect again, at the cost of others.

--- a/src/main/java/wharftrestle/frontend/RespFrontend.java
+++ b/src/main/java/wharftrestle/frontend/RespFrontend.java
@@ -5,7 +5,6 @@
 import java.io.InputStream;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.locks.LockSupport;
 import wharftrestle.metrics.Counters;
 import wharftrestle.metrics.Counters.Count;
 import wharftrestle.request.Acceptance;
@@ -98,21 +97,17 @@
 
   /**
    * Delays a message of a connection that sends more than its share. A peer that goes on for longer
-   * than its open requests explain is sent the go-away message, and is closed if it ignores that.
+   * than its open requests explain is sent the go-away message.
    */
   private void awaitShare(Connection connection, InputRateLimiter.Account account)
       throws IOException {
-    long now = System.nanoTime();
-    if (!limiter.exceedsShare(account, now)) {
+    if (!limiter.exceedsShare(account, System.nanoTime())) {
       return;
     }
     counters.add(Count.MESSAGES_DELAYED);
-    boolean hasMoreInput = connection.in().available() > 0;
-    LockSupport.parkNanos(limiter.delayNanos(account, hasMoreInput, now));
-    switch (limiter.excess(account, now)) {
-      case NONE -> {}
-      case LONG -> connection.goAway();
-      case PERSISTENT -> throw new MalformedException("more messages than the connection's share");
+    boolean hasMoreInput = connection.delayInput(limiter.delayNanos(account));
+    if (limiter.isInExcess(account, hasMoreInput, System.nanoTime())) {
+      connection.goAway();
     }
   }
 
--- a/src/main/java/wharftrestle/transport/Connection.java
+++ b/src/main/java/wharftrestle/transport/Connection.java
@@ -1,6 +1,6 @@
 package wharftrestle.transport;
 
-import java.io.BufferedInputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
@@ -79,7 +79,7 @@
   private final Server.Front frontend;
   private final ConnectionState state = new ConnectionState();
   private final Input input;
-  private final InputStream in;
+  private final ReadAheadInputStream in;
   private final long openedAt = System.nanoTime();
   private volatile long lastMessageNanos = openedAt;
   private volatile Merit merit = Merit.SILENT;
@@ -129,7 +129,7 @@
     this.socket = socket;
     this.frontend = frontend;
     input = new Input();
-    in = new BufferedInputStream(input, 2048);
+    in = new ReadAheadInputStream(input);
   }
 
   public InputStream in() {
@@ -141,6 +141,31 @@
     input.setDeadlineNanos(nanos);
   }
 
+  /**
+   * Waits before the next message is handled, and reads ahead meanwhile. If the peer has ended its
+   * output behind what is unread, it is sent something, to learn whether it has disconnected.
+   *
+   * @return whether more input has arrived than can be read ahead
+   * @throws EOFException if the peer has disconnected: no request that is unread is accepted
+   */
+  public boolean delayInput(long nanos) throws IOException {
+    long until = System.nanoTime() + nanos;
+    boolean hadEnded = input.isAtEnd;
+    in.readAhead(until);
+    if (input.isReset) {
+      close();
+    } else if (input.isAtEnd && !hadEnded) {
+      probePeer();
+      LockSupport.parkNanos(PROBE_POLL_MS * 1_000_000L);
+      probePeer();
+    }
+    if (state.phase() == Phase.CLOSED) {
+      throw new EOFException("peer disconnected with input unread");
+    }
+    LockSupport.parkNanos(until - System.nanoTime());
+    return in.isFull() && input.available() > 0;
+  }
+
   public long openedAt() {
     return openedAt;
   }
@@ -304,11 +329,19 @@
       closeNonReadingPeer();
     } else if (state.nanosInPhase(Phase.HALF_CLOSED, now) > LINGER_MS * 1_000_000L) {
       close();
-    } else if (state.isGoAwayExpired(now) && isQuiet()) {
+    } else if (state.isGoAwayExpired(now) && (isQuiet() || ignoresGoAway())) {
       finish();
     }
   }
 
+  private boolean ignoresGoAway() {
+    try {
+      return state.ignoresGoAway(input.available());
+    } catch (IOException e) {
+      return true; // the reading thread sees the error too
+    }
+  }
+
   /** Closes the connection if its peer does not read while others need its place; true if so. */
   boolean closeIfNotReading(long now) {
     boolean isStuck = state.isWriteStuck(now, MAX_STUCK_AT_LIMIT_MS * 1_000_000L);
--- a/src/main/java/wharftrestle/transport/ConnectionState.java
+++ b/src/main/java/wharftrestle/transport/ConnectionState.java
@@ -63,6 +63,12 @@
    */
   static final long WRITE_TIMEOUT_NANOS = 5_000_000_000L;
 
+  /**
+   * Polls with input after which a peer ignores the go-away message: two seconds, in which all that
+   * it may have open has been read.
+   */
+  private static final int MAX_POLLS_WITH_INPUT = 40;
+
   private final ArrayDeque<byte[]> queue = new ArrayDeque<>();
   private Phase phase = Phase.OPEN;
   private int inFlight; // accepted requests whose answer is not queued yet
@@ -73,6 +79,8 @@
   private long readCount;
   private long readCountWhenQuiet =
       -1; // value of readCount at the last poll that found the connection quiet
+  private long readCountAtPoll; // value of readCount at the last poll for ignoresGoAway
+  private int pollsWithInput; // polls in a row before which input had arrived
   private long phaseStartedNanos; // start of the present phase
   private long goAwayDeadlineNanos; // by which the peer should close
   private boolean isGoAwayPending; // the go-away message is not queued yet
@@ -259,6 +267,21 @@
     return isQuietNow && wasQuiet;
   }
 
+  /**
+   * Polled like {@link #isQuiet} once the deadline after the go-away message has passed. Returns
+   * true if input has arrived before each of {@value #MAX_POLLS_WITH_INPUT} polls: whoever has read
+   * the message sends nothing more. Polls are counted rather than time, as this process may have
+   * been paused, with input of before the message unread.
+   *
+   * @param unreadBytes bytes in the kernel's receive buffer
+   */
+  synchronized boolean ignoresGoAway(int unreadBytes) {
+    boolean hasInput = unreadBytes > 0 || readCount != readCountAtPoll;
+    readCountAtPoll = readCount;
+    pollsWithInput = hasInput ? pollsWithInput + 1 : 0;
+    return pollsWithInput > MAX_POLLS_WITH_INPUT;
+  }
+
   /** Returns the nanoseconds spent in this phase; 0 if the connection is in another. */
   synchronized long nanosInPhase(Phase expected, long now) {
     return phase == expected ? Math.max(1, now - phaseStartedNanos) : 0;
--- a/src/main/java/wharftrestle/transport/InputRateLimiter.java
+++ b/src/main/java/wharftrestle/transport/InputRateLimiter.java
@@ -19,8 +19,8 @@
 
   private static final double NANOS_PER_SECOND = 1e9;
 
-  /** Messages a second for which half of a core suffices. */
-  private static final double MESSAGES_PER_CORE_SECOND = 8000;
+  /** Messages a second that one core suffices for if each of them is a request that is served. */
+  private static final double MESSAGES_PER_CORE_SECOND = 4000;
 
   /** Nanoseconds after which the common rate is computed anew. */
   private static final long WINDOW_NANOS = 100_000_000;
@@ -40,13 +40,6 @@
   /** Part of the shortest answer time in which all open requests of a connection are read. */
   private static final double MAX_UNREAD_FRACTION = 0.5;
 
-  /** For how long a connection has had more input than its share. */
-  public enum Excess {
-    NONE,
-    LONG,
-    PERSISTENT
-  }
-
   private final double capacity;
   private final double minRatePerConnection;
   private final long maxExcessNanos;
@@ -116,12 +109,17 @@
     return account.tokens < 0;
   }
 
+  /** Returns the nanoseconds by which to delay a message that exceeds its connection's share. */
+  public synchronized long delayNanos(Account account) {
+    return (long) (-account.tokens / ratePerConnection * NANOS_PER_SECOND);
+  }
+
   /**
-   * Returns the nanoseconds by which to delay a message for which {@link #exceedsShare} was true.
-   *
-   * @param hasMoreInput whether more input of the connection has arrived
+   * Records whether a delayed connection has more input than can be read ahead. Returns true once
+   * it has had so for longer than open requests explain: its peer sends what the protocol does not
+   * allow, or does not wait for answers.
    */
-  public synchronized long delayNanos(Account account, boolean hasMoreInput, long now) {
+  public synchronized boolean isInExcess(Account account, boolean hasMoreInput, long now) {
     boolean hasPaused = now - account.lastExceededAt > EXCESS_PAUSE_NANOS;
     account.lastExceededAt = now;
     if (!hasMoreInput) {
@@ -129,18 +127,7 @@
     } else if (account.excessSince == 0 || hasPaused) {
       account.excessSince = now;
     }
-    return (long) (-account.tokens / ratePerConnection * NANOS_PER_SECOND);
-  }
-
-  /**
-   * Returns for how long a connection has had more input than its share. Open requests explain less
-   * than {@link Excess#LONG}.
-   */
-  public synchronized Excess excess(Account account, long now) {
-    long nanos = account.excessSince == 0 ? 0 : now - account.excessSince;
-    return nanos <= maxExcessNanos
-        ? Excess.NONE
-        : nanos <= 2 * maxExcessNanos ? Excess.LONG : Excess.PERSISTENT;
+    return account.excessSince != 0 && now - account.excessSince > maxExcessNanos;
   }
 
   private boolean isLimiting() {
--- a/src/test/java/wharftrestle/transport/ServerTest.java
+++ b/src/test/java/wharftrestle/transport/ServerTest.java
@@ -436,6 +436,33 @@
     }
   }
 
+  /** Guards against peers that keep their places by sending on after the go-away message. */
+  @Test
+  void peerThatIgnoresTheGoAwayMessage_isClosed() throws Exception {
+    try (Server server = server(8);
+        Socket peer = peer(server)) {
+      server.start();
+      write(peer, "a");
+      assertEquals("A", read(peer, 1));
+      server.sendAway(0);
+      Thread sending =
+          new Thread(
+              () -> {
+                try {
+                  for (; ; ) {
+                    write(peer, "b");
+                    Thread.sleep(10);
+                  }
+                } catch (IOException | InterruptedException closed) {
+                  return;
+                }
+              });
+      sending.start();
+      awaitNoConnections(server);
+      sending.join();
+    }
+  }
+
   /**
    * Guards against new peers that are turned away because peers that do not read fill the table.
    */
