Complete a request in the transition that queues its answer

A front end that ended its output as soon as it had its last answer could get a go-away message behind it: the answer was sent first, and the request counted as open until the sending thread ran again.

ConnectionState.enqueueAnswer does both under its lock. The output is still not shut down before the answer is written. ConnectionStateTest.requestIsComplete_onceItsAnswerIsQueued holds it; the transition did not exist before.

--- a/src/main/java/wharftrestle/frontend/RespFrontend.java
+++ b/src/main/java/wharftrestle/frontend/RespFrontend.java
@@ -174,15 +174,16 @@
       if (answer.kind() == Answer.Kind.SERVED) {
         connection.heard(Connection.Merit.SERVED);
       }
-      connection.send(
+      byte[] message =
           switch (answer.kind()) {
             case SERVED -> array(tag, "done", "", answer.result());
             case FAILED, DEADLINE_EXCEEDED, CONFLICT -> array(tag, "error", "", answer.result());
             case REJECTED -> array(tag, "later", retryAdvice(answer), answer.result());
-          });
+          };
       if (wasOpen) {
-        connection
-            .completeRequest(); // after the answer is sent, as a close in between would lose it
+        connection.sendAnswer(message);
+      } else {
+        connection.send(message); // answered while it was accepted, or withdrawn meanwhile
       }
     }
 
--- a/src/main/java/wharftrestle/transport/Connection.java
+++ b/src/main/java/wharftrestle/transport/Connection.java
@@ -238,7 +238,15 @@
    * Sends a complete message, in the order of the calls; never waits for a write of another thread.
    */
   public void send(byte[] message) {
-    Action action = state.enqueue(message);
+    write(state.enqueue(message));
+  }
+
+  /** Sends the answer of a request and completes it. */
+  public void sendAnswer(byte[] message) {
+    write(state.enqueueAnswer(message));
+  }
+
+  private void write(Action action) {
     if (action == Action.ABORT) {
       // The peer does not read; answers queued for it must not use up the memory.
       closeNonReadingPeer();
--- a/src/main/java/wharftrestle/transport/ConnectionState.java
+++ b/src/main/java/wharftrestle/transport/ConnectionState.java
@@ -168,6 +168,18 @@
     return Action.WRITE;
   }
 
+  /**
+   * Queues the answer of a request and completes it, in one transition: otherwise a peer that has
+   * its answer could end its output before the request counts as answered.
+   */
+  synchronized Action enqueueAnswer(byte[] message) {
+    if (inFlight == 0) {
+      throw new IllegalStateException("more requests completed than accepted");
+    }
+    inFlight--;
+    return enqueue(message);
+  }
+
   /**
    * Returns the next message for the writing thread; null if none is left, and then that thread
    * stops writing.
--- a/src/test/java/wharftrestle/transport/ConnectionStateTest.java
+++ b/src/test/java/wharftrestle/transport/ConnectionStateTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -308,4 +310,20 @@
         .invocationsPerIteration(200)
         .check(ConnectionStateTest.class);
   }
+
+  /**
+   * Guards against a go-away message behind the last answer to a peer that has ended its output.
+   */
+  @Test
+  void requestIsComplete_onceItsAnswerIsQueued() {
+    ConnectionState state = new ConnectionState();
+    assertTrue(state.beginRequest());
+    assertEquals(Action.WRITE, state.enqueueAnswer(new byte[] {1}));
+    assertEquals(0, state.inFlight());
+    assertEquals(Action.NOTHING, state.finish(1), "the answer is not written yet");
+    assertNotNull(state.nextMessage(1));
+    assertNull(state.nextMessage(2));
+    assertEquals(Action.SHUT_OUTPUT, state.onQueueWritten(2));
+    assertThrows(IllegalStateException.class, () -> state.enqueueAnswer(new byte[] {2}));
+  }
 }
