Play clients that come again with their keys, and upgrades under hostile clients

RETURNS sends sixteen keyed requests, leaves at a random moment and sends the same keys on a new connection. With 'upgraded' a new process takes over every three seconds while the clients go on.

--- a/src/test/java/wharftrestle/prove/HostileClient.java
+++ b/src/test/java/wharftrestle/prove/HostileClient.java
@@ -1,10 +1,12 @@
 package wharftrestle.prove;
 
+import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicLong;
@@ -44,6 +46,8 @@
     LEAVES,
     /** The same, but resets the connection. */
     RESETS,
+    /** Sends keyed requests, closes its connection, and sends the same keys on a new one. */
+    RETURNS,
     /** Connects and closes the connection again. */
     RECONNECTS,
     /** Stops half way through the variables of a gateway's request. */
@@ -119,12 +123,13 @@
         discardInput(socket);
       }
       case LEAVES, RESETS -> leave(socket);
+      case RETURNS -> returnWithSameKeys(socket);
       case RECONNECTS -> messages.incrementAndGet();
     }
   }
 
   private void sendOnEachAnswer(Socket socket, int openRequests) throws IOException {
-    InputStream in = new java.io.BufferedInputStream(socket.getInputStream());
+    InputStream in = new BufferedInputStream(socket.getInputStream());
     for (int i = 0; i < openRequests; i++) {
       write(socket, message());
     }
@@ -142,7 +147,7 @@
       byte[] word =
           BoundedReader.exactly(in, Integer.parseInt(BoundedReader.line(in, 20).substring(1)));
       BoundedReader.crlf(in);
-      tag = i == 0 ? new String(word, java.nio.charset.StandardCharsets.ISO_8859_1) : tag;
+      tag = i == 0 ? new String(word, StandardCharsets.ISO_8859_1) : tag;
     }
     return tag;
   }
@@ -207,6 +212,35 @@
     LockSupport.parkNanos(50_000_000);
   }
 
+  /** Leaves at a random moment, and waits for the answers to the second attempts. */
+  private void returnWithSameKeys(Socket first) throws IOException {
+    long[] numbers = new long[OPEN_REQUESTS];
+    StringBuilder batch = new StringBuilder();
+    for (int i = 0; i < OPEN_REQUESTS; i++) {
+      numbers[i] = NEXT_NUMBER.incrementAndGet();
+      batch.append(ask(numbers[i], "save", "key" + numbers[i], "returns" + numbers[i]));
+    }
+    first.getOutputStream().write(BoundedReader.ascii(batch.toString()));
+    messages.incrementAndGet();
+    LockSupport.parkNanos(ThreadLocalRandom.current().nextInt(60_000_000));
+    if (ThreadLocalRandom.current().nextBoolean()) {
+      first.setSoLinger(true, 0);
+    }
+    first.close();
+    try (Socket second = new Socket()) {
+      second.setSoTimeout(READ_TIMEOUT_MS);
+      second.connect(address, 2000);
+      InputStream in = new BufferedInputStream(second.getInputStream());
+      for (long number : numbers) {
+        long attempt = NEXT_NUMBER.incrementAndGet();
+        write(second, ask(attempt, "save", "key" + number, "returns" + number));
+      }
+      for (int answers = 0; answers < numbers.length; ) {
+        answers += readReply(in).equals("0") ? 0 : 1;
+      }
+    }
+  }
+
   private String message() {
     long number = NEXT_NUMBER.incrementAndGet();
     return switch (kind) {
--- a/src/test/java/wharftrestle/prove/ProveHostileClients.java
+++ b/src/test/java/wharftrestle/prove/ProveHostileClients.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
@@ -35,6 +36,7 @@
   private static final int INTERVAL_MS = 700;
   private static final long GONE_TOLERANCE_MS = 100;
   private static final long SAMPLE_NANOS = 100_000_000;
+  private static final long UPGRADE_INTERVAL_NANOS = 3_000_000_000L;
 
   /**
    * One play.
@@ -42,6 +44,7 @@
    * @param hostileClients number of them, each with one connection at a time
    * @param isSameTenant whether they use the tenant of the ordinary clients
    * @param cpuCores cores to which the process is held by stopping it; 0 for no such limit
+   * @param isUpgraded whether a new process takes over every {@link #UPGRADE_INTERVAL_NANOS}
    */
   record Play(
       HostileClient.Kind kind,
@@ -52,6 +55,7 @@
       double cores,
       double cpuCores,
       boolean isPoolFailing,
+      boolean isUpgraded,
       int seconds) {}
 
   private ProveHostileClients() {}
@@ -68,6 +72,7 @@
             Double.parseDouble(args[5]),
             Double.parseDouble(args[6]),
             args[7].equals("failing"),
+            args[7].equals("upgraded"),
             Integer.parseInt(args[8]));
     System.out.println(String.join(" ", args) + ": " + run(play));
     System.exit(0);
@@ -83,31 +88,29 @@
             script,
             29421,
             new HostTestbed.Play("wharftrestle.Main", play.memoryMb(), 24, 300))) {
-      if (!Boolean.getBoolean("packaged")) {
+      if (!Boolean.getBoolean("packaged") || play.isUpgraded()) {
         testbed.useRunScript();
       }
       testbed.configureTenants(TENANTS);
       testbed.limitWorkerPool(WORKER_CORES, EXECUTION_MS);
       testbed.pool().setFailing(play.isPoolFailing());
       testbed.configureLimits(play.cores(), play.sockets());
-      testbed.start();
-      return play(testbed, play, gatewayPort);
+      Daemons daemons = new Daemons(testbed, script, play.isUpgraded());
+      return play(testbed, daemons, play, gatewayPort);
     } finally {
       HostTestbed.delete(folder);
     }
   }
 
-  private static String play(HostTestbed testbed, Play play, int gatewayPort) throws Exception {
+  private static String play(HostTestbed testbed, Daemons daemons, Play play, int gatewayPort)
+      throws Exception {
     AtomicBoolean isStopped = new AtomicBoolean();
     LeftCallers leftCallers = new LeftCallers();
     AtomicLong messages = new AtomicLong();
     OrdinaryClients ordinary = new OrdinaryClients(testbed.address(), TENANTS.get(0));
     List<Thread> threads = new ArrayList<>();
-    CpuLimiter limiter =
-        play.cpuCores() > 0
-            ? new CpuLimiter(() -> List.of(testbed.daemon()), play.cpuCores())
-            : null;
-    double cpuBefore = testbed.daemon().cpuSeconds();
+    CpuLimiter limiter = play.cpuCores() > 0 ? new CpuLimiter(daemons::all, play.cpuCores()) : null;
+    double cpuBefore = daemons.current().cpuSeconds();
     int newConnections = play.memoryMb() / MEMORY_MB_PER_CLIENT;
     threads.addAll(
         List.of(
@@ -133,12 +136,14 @@
     }
     Memory peak = new Memory(0, 0);
     long until = System.nanoTime() + play.seconds() * 1_000_000_000L;
-    while (System.nanoTime() < until && testbed.daemon().alive()) {
-      peak = peak.max(testbed.daemon());
+    while (System.nanoTime() < until && daemons.current().alive()) {
+      peak = peak.max(daemons.current());
+      daemons.upgradeIfDue();
       LockSupport.parkNanos(SAMPLE_NANOS);
     }
     ordinary.stop();
-    double cpu = testbed.daemon().alive() ? testbed.daemon().cpuSeconds() - cpuBefore : Double.NaN;
+    DaemonProcess daemon = daemons.current();
+    double cpu = daemon.alive() ? daemon.cpuSeconds() - cpuBefore : Double.NaN;
     LockSupport.parkNanos(1_000_000_000);
     isStopped.set(true);
     for (Thread thread : threads) {
@@ -147,17 +152,17 @@
     if (limiter != null) {
       limiter.close();
     }
-    String log = testbed.daemon().log();
+    String log = daemon.log();
     if (System.getenv("SHOW_LOG") != null) {
       System.out.println(log.substring(Math.max(0, log.length() - 4000)));
-      System.out.println(testbed.daemon().get("/_status"));
+      System.out.println(daemon.get("/_status"));
     }
     return String.format(
         Locale.ROOT,
         "%s | %s, peak resident %.0f anonymous %.0f MB, cpu %.1f s, hostile messages %d,"
-            + " left %d, executed for callers gone %d, executed twice %d, out of memory %b",
+            + " left %d, executed for callers gone %d, executed twice %d, out of memory %b, upgrades %d",
         ordinary.summary(),
-        testbed.daemon().alive() ? "alive" : "ENDED",
+        daemon.alive() ? "alive" : "ENDED",
         peak.residentMb(),
         peak.anonymousMb(),
         cpu,
@@ -165,7 +170,60 @@
         leftCallers.size(),
         leftCallers.executionsAfter(testbed.pool(), GONE_TOLERANCE_MS),
         testbed.doubleRuns(),
-        log.contains("OutOfMemory"));
+        log.contains("OutOfMemory"),
+        daemons.upgrades());
+  }
+
+  /** The daemon that serves, and in an upgrade the one before it. */
+  private static final class Daemons {
+    private static final long READY_TIMEOUT_MS = 30_000;
+
+    private final HostTestbed testbed;
+    private final HostTestbed.Version version;
+    private final boolean isUpgraded;
+    private final List<DaemonProcess> processes = new CopyOnWriteArrayList<>();
+    private long nextUpgradeAt = System.nanoTime() + UPGRADE_INTERVAL_NANOS;
+
+    Daemons(HostTestbed testbed, String script, boolean isUpgraded) throws IOException {
+      this.testbed = testbed;
+      this.isUpgraded = isUpgraded;
+      version = new HostTestbed.Version(null, "wharftrestle.Main", testbed.settings(), script);
+      if (isUpgraded) {
+        begin();
+      } else {
+        testbed.start();
+        processes.add(testbed.daemon());
+      }
+    }
+
+    private void begin() throws IOException {
+      DaemonProcess process = testbed.begin(version);
+      if (!process.awaitReady(READY_TIMEOUT_MS)) {
+        throw new IOException("the daemon was not ready in time; its log:\n" + process.log());
+      }
+      processes.add(process);
+    }
+
+    List<DaemonProcess> all() {
+      return processes;
+    }
+
+    DaemonProcess current() {
+      return processes.get(processes.size() - 1);
+    }
+
+    int upgrades() {
+      return processes.size() - 1;
+    }
+
+    void upgradeIfDue() throws IOException {
+      if (isUpgraded && System.nanoTime() > nextUpgradeAt) {
+        DaemonProcess predecessor = current();
+        begin();
+        predecessor.terminate();
+        nextUpgradeAt = System.nanoTime() + UPGRADE_INTERVAL_NANOS;
+      }
+    }
   }
 
   private record Memory(double residentMb, double anonymousMb) {
