Grow the read-ahead buffer only as it is needed, and end a cancelled execution once

An execution that the worker pool's restart has ended already is not completed a second time as it is cancelled.

--- a/src/main/java/wharftrestle/request/RequestLifecycle.java
+++ b/src/main/java/wharftrestle/request/RequestLifecycle.java
@@ -190,8 +190,10 @@
         return false;
       }
       request.steps.removeIf(step -> step.kind() != InFlightRequest.StepKind.ANSWER);
-      request.isRejectedBeforeSend = true;
-      executions.complete(request, Outcome.VOID, 0, null);
+      if (!request.isCompleted) {
+        request.isRejectedBeforeSend = true;
+        executions.complete(request, Outcome.VOID, 0, null);
+      }
       return true;
     } finally {
       lock.unlock();
--- a/src/main/java/wharftrestle/transport/ReadAheadInputStream.java
+++ b/src/main/java/wharftrestle/transport/ReadAheadInputStream.java
@@ -69,10 +69,12 @@
    * @param deadlineNanos on the clock of System.nanoTime
    */
   void readAhead(long deadlineNanos) {
-    compact();
     socketInput.setDeadlineNanos(deadlineNanos);
     try {
       while (!isFull() && !hasEnded && System.nanoTime() < deadlineNanos) {
+        if (limit == buffer.length) {
+          makeRoom();
+        }
         int count = socketInput.read(buffer, limit, buffer.length - limit);
         hasEnded = count < 0;
         limit += Math.max(0, count);
@@ -85,8 +87,9 @@
     }
   }
 
-  private void compact() {
-    byte[] target = buffer.length == MAX_AHEAD_BYTES ? buffer : new byte[MAX_AHEAD_BYTES];
+  /** Moves what is buffered to the start of the buffer, and doubles a buffer that is all in use. */
+  private void makeRoom() {
+    byte[] target = position > 0 ? buffer : new byte[Math.min(MAX_AHEAD_BYTES, 2 * buffer.length)];
     System.arraycopy(buffer, position, target, 0, limit - position);
     buffer = target;
     limit -= position;
