Evict connections over their share before those that wait

Cause: at the limit, among connections of equal merit the one idle longest goes. That is an ordinary one, never one that sends without pause.

Fix: a connection whose input was delayed in the last 5 s, as it sends more than its share, goes before any other but silent ones. ServerTest.peerOverItsShare_atTheLimit_isEvictedBeforeOneThatWaits times out before, holds after.

--- a/src/main/java/wharftrestle/transport/Connection.java
+++ b/src/main/java/wharftrestle/transport/Connection.java
@@ -60,6 +60,9 @@
    */
   private static final int MAX_STUCK_AT_LIMIT_MS = 1000;
 
+  /** Nanoseconds after a delay of its input for which a connection counts as over its share. */
+  private static final long OVER_SHARE_NANOS = 5_000_000_000L;
+
   /** Milliseconds between two polls of a closing connection by its reading thread. */
   private static final int DISCARD_POLL_MS = 50;
 
@@ -84,6 +87,8 @@
   private volatile long lastMessageNanos = openedAt;
   private volatile Merit merit = Merit.SILENT;
   private volatile boolean isPeerNotReading;
+  private volatile boolean hasBeenDelayed;
+  private volatile long lastDelayedNanos;
   private Runnable disconnectCallback = () -> {};
   private Runnable peerProbe; // null: the go-away message
   private long discardedBytes;
@@ -149,7 +154,9 @@
    * @throws EOFException if the peer has disconnected: no request that is unread is accepted
    */
   public boolean delayInput(long nanos) throws IOException {
-    long until = System.nanoTime() + nanos;
+    lastDelayedNanos = System.nanoTime();
+    hasBeenDelayed = true;
+    long until = lastDelayedNanos + nanos;
     boolean hadEnded = input.isAtEnd;
     in.readAhead(until);
     if (input.isReset) {
@@ -179,6 +186,11 @@
     return merit;
   }
 
+  /** Returns whether input was delayed lately, as the peer sends more than its share. */
+  boolean isOverShare(long now) {
+    return hasBeenDelayed && now - lastDelayedNanos < OVER_SHARE_NANOS;
+  }
+
   SocketAddress peer() {
     return socket.getRemoteSocketAddress();
   }
--- a/src/main/java/wharftrestle/transport/Server.java
+++ b/src/main/java/wharftrestle/transport/Server.java
@@ -340,15 +340,19 @@
 
   /**
    * Rank of a connection for eviction; the lowest is evicted first, among equals the one idle
-   * longest.
+   * longest. Who sends more than its share, at the cost of others, goes before who waits.
    */
   @SuppressWarnings("EnumOrdinal") // a rank; Merit is declared in ascending order
   private static int evictionRank(Connection each, long now) {
     long idleNanos = now - each.lastMessageNanos();
     boolean isSilent = each.merit() == Merit.SILENT;
-    return isSilent && idleNanos > FIRST_MESSAGE_NANOS
-        ? 0
-        : !isSilent && idleNanos > IDLE_NANOS ? 1 : 2 + each.merit().ordinal();
+    if (isSilent && idleNanos > FIRST_MESSAGE_NANOS) {
+      return 0;
+    }
+    if (each.isOverShare(now)) {
+      return 1;
+    }
+    return !isSilent && idleNanos > IDLE_NANOS ? 2 : 3 + each.merit().ordinal();
   }
 
   /**
--- a/src/test/java/wharftrestle/transport/ServerTest.java
+++ b/src/test/java/wharftrestle/transport/ServerTest.java
@@ -463,6 +463,39 @@
     }
   }
 
+  /** Guards against ordinary peers that lose their places to those who send without pause. */
+  @Test
+  void peerOverItsShare_atTheLimit_isEvictedBeforeOneThatWaits() throws Exception {
+    Server.Front delayingFrontend =
+        connection -> {
+          for (int c = connection.in().read(); c >= 0; c = connection.in().read()) {
+            if (c == 'd') {
+              connection.delayInput(1_000_000);
+              connection.readUntil(0); // without a deadline, as before
+            }
+            connection.heard(Merit.SERVED);
+            connection.send(BoundedReader.ascii("ok"));
+            connection.markInputHandled();
+          }
+        };
+    try (Server server = server(2, delayingFrontend);
+        Socket ordinary = peer(server);
+        Socket greedy = peer(server)) {
+      server.start();
+      write(ordinary, "a");
+      assertEquals("ok", read(ordinary, 2));
+      write(greedy, "d");
+      assertEquals("ok", read(greedy, 2)); // it has sent last, and is idle for the shorter time
+      try (Socket newPeer = peer(server)) {
+        write(newPeer, "a");
+        assertEquals("ok", read(newPeer, 2));
+        assertEquals(-1, greedy.getInputStream().read(), "its connection is ended");
+        write(ordinary, "a");
+        assertEquals("ok", read(ordinary, 2));
+      }
+    }
+  }
+
   /**
    * Guards against new peers that are turned away because peers that do not read fill the table.
    */
