--- a/src/main/java/wharftrestle/testbed/TestClient.java
+++ b/src/main/java/wharftrestle/testbed/TestClient.java
@@ -57,6 +57,11 @@
     }
   }
 
+  /** Whether an announcement that the daemon closes this connection has been read. */
+  public boolean wasToldToGo() {
+    return closing;
+  }
+
   /**
    * Whether the daemon announced that it closes this connection; reads what arrived while the
    * connection was idle.
--- a/src/test/java/wharftrestle/prove/OrdinaryClients.java
+++ b/src/test/java/wharftrestle/prove/OrdinaryClients.java
@@ -21,8 +21,8 @@
   /**
    * One request.
    *
-   * @param word how it ended; "lost" without an answer on a connection that was used before, "none"
-   *     on a new one, of which nothing was accepted
+   * @param word how it ended; without an answer: "none" on a new connection, of which nothing was
+   *     accepted; "crossed" if the announcement of the close crossed it; "lost" otherwise
    * @param latencyMs since it was due at the client
    * @param answerMs since the client began to send it
    */
@@ -83,7 +83,10 @@
         }
         sentAt = System.nanoTime();
         word = ask(client);
-      } catch (IOException lost) {
+      } catch (IOException noAnswer) {
+        if (client != null && word.equals("lost") && client.wasToldToGo()) {
+          word = "crossed";
+        }
         close(client);
         client = null;
       }
